--- a/cmd/carobmill/process_test.go
+++ b/cmd/carobmill/process_test.go
@@ -20,6 +20,7 @@
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/node/caller"
+	"github.com/carobmill/carobmill/node/command"
 	"github.com/carobmill/carobmill/node/deployment"
 	"github.com/carobmill/carobmill/node/sheetfile"
 	"github.com/carobmill/carobmill/policy/query"
@@ -85,7 +86,7 @@
 	c.Assert(os.WriteFile(file, []byte(settings), 0o600), qt.IsNil)
 	cmd := exec.Command(binary, "run", "-settings", file)
 	var log bytes.Buffer
-	cmd.Stderr = &log
+	cmd.Stdout, cmd.Stderr = &log, &log
 	c.Assert(cmd.Start(), qt.IsNil)
 	t.Cleanup(func() {
 		_ = cmd.Process.Kill()
@@ -254,17 +255,17 @@
 		code int
 		text string
 	}{
-		{nil, exitUsage, "usage:"},
-		{[]string{"walk"}, exitUsage, `unknown command "walk"`},
-		{[]string{"run"}, exitUsage, "-settings FILE is required"},
-		{[]string{"check-settings", faulty}, exitUsage, "ports: "},
-		{[]string{"run", "-settings", faulty}, exitUsage, "limits.workers: "},
-		{[]string{"check-settings", filepath.Join("..", "..", "examples", "node.yaml")}, exitOK, "ok"},
-		{[]string{"version"}, exitOK, "carobmill"},
+		{nil, command.ExitUsage, "usage:"},
+		{[]string{"walk"}, command.ExitUsage, `unknown command "walk"`},
+		{[]string{"run"}, command.ExitUsage, "-settings FILE is required"},
+		{[]string{"check-settings", faulty}, command.ExitUsage, "ports: "},
+		{[]string{"run", "-settings", faulty}, command.ExitUsage, "limits.workers: "},
+		{[]string{"check-settings", filepath.Join("..", "..", "examples", "node.yaml")}, command.ExitOK, "ok"},
+		{[]string{"version"}, command.ExitOK, "carobmill"},
 	}
 	for _, tc := range cases {
 		var stdout, stderr bytes.Buffer
-		code := run(t.Context(), tc.args, &stdout, &stderr)
+		code := command.Run(t.Context(), tc.args, &stdout, &stderr, nil)
 		c.Check(code, qt.Equals, tc.code, qt.Commentf("%v", tc.args))
 		c.Check(stdout.String()+stderr.String(), qt.Contains, tc.text)
 	}
--- a/node/backend/pool.go
+++ b/node/backend/pool.go
@@ -53,6 +53,9 @@
 	silent   bool
 	// suspect connections carry nothing until a probe has answered on them.
 	suspect bool
+	// idleFor is how long the server keeps the connection while it is idle; 0 when
+	// it does not say.
+	idleFor time.Duration
 }
 
 // grant hands a connection, or the reason why there is none, to a waiter.
@@ -160,7 +163,7 @@
 	p.conns = slices.DeleteFunc(p.conns, func(cn *conn) bool {
 		idle := cn.inFlight == 0 && !cn.suspect
 		surplus := idle && kept > allowed
-		old := idle && now.Sub(cn.lastUsed) > p.client.opts.IdleTimeout
+		old := idle && now.Sub(cn.lastUsed) > cn.keepFor(p.client.opts.IdleTimeout)
 		if !cn.closed && !surplus && !old && cn.cc.Err() == nil {
 			return false
 		}
@@ -170,6 +173,14 @@
 	})
 }
 
+// keepFor is how long the connection is kept while it is idle.
+func (cn *conn) keepFor(own time.Duration) time.Duration {
+	if cn.idleFor > 0 {
+		return min(cn.idleFor, own)
+	}
+	return own
+}
+
 // closeLocked closes a connection; its place in the share is free again when
 // the backend server has closed its end too.
 func (p *pool) closeLocked(cn *conn) {
--- /dev/null
+++ b/node/directory/directory.go
@@ -0,0 +1,296 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Defaults of Options.
+const (
+	// defaultCallTimeout bounds every call but a watch. The store answers within
+	// milliseconds, and within a quarter of a second when it is slow.
+	defaultCallTimeout = time.Second
+	// defaultWait is how long a watch waits at the store. A watch whose connection
+	// was forgotten on the way is noticed after defaultWait + watchSlack, inside the
+	// shortest time in which news must take effect (3 s).
+	defaultWait = 1800 * time.Millisecond
+	watchSlack  = 700 * time.Millisecond
+	// pace is the least time between two watch calls: the changes of a busy moment
+	// come in one answer, and each call has its price.
+	pace = 200 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a failed call; it is jittered
+	// so that the nodes do not return all at once.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
+	// outageAfter is the silence of the store from which entries may have lapsed
+	// because their replicas could not renew them, and doubtFor how long after the
+	// store's return a missing entry counts as doubtful.
+	outageAfter = 2500 * time.Millisecond
+	doubtFor    = 2500 * time.Millisecond
+	// registrationTTL and renewEvery keep the node's registration; three renewals
+	// may fail in a row.
+	registrationTTL = 12 * time.Second
+	renewEvery      = 3 * time.Second
+)
+
+// Options of a Directory.
+type Options struct {
+	Store Store
+	Node  string
+	Log   logrus.FieldLogger
+	// Changed is called with each new view, one at a time; may be nil.
+	Changed func(*View)
+}
+
+// Directory follows the store. Safe for concurrent use.
+type Directory struct {
+	opts  Options
+	view  atomic.Pointer[View]
+	nodes atomic.Int64
+
+	// The rest belongs to the goroutine of Run.
+	state        *state
+	synced       bool
+	lastSuccess  time.Time
+	failing      bool
+	doubtfulTill time.Time
+	backoff      time.Duration
+}
+
+// New returns a directory that knows nothing yet.
+func New(o Options) *Directory {
+	d := &Directory{opts: o, state: newState(), backoff: minBackoff}
+	d.nodes.Store(assumedNodes)
+	return d
+}
+
+// View returns the newest view, or nil before one configuration is known.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Nodes returns the number of nodes that share the fleet's budgets.
+func (d *Directory) Nodes() int { return int(d.nodes.Load()) }
+
+// Run follows the store until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	d.lastSuccess = time.Now()
+	for ctx.Err() == nil {
+		var err error
+		if d.synced {
+			err = d.watch(ctx)
+		} else {
+			err = d.read(ctx)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			d.failed(ctx, err)
+		}
+	}
+}
+
+// read reads every area as a whole.
+func (d *Directory) read(ctx context.Context) error {
+	began := time.Now()
+	var first uint64
+	changed := false
+	for _, area := range []Area{AreaReplicas, AreaNodes, AreaOperators} {
+		listed := make(map[string]bool)
+		after := ""
+		var revision uint64
+		for {
+			page, err := d.page(ctx, area, after)
+			if err != nil {
+				return err
+			}
+			d.succeeded()
+			if revision == 0 {
+				revision = page.Revision
+			}
+			if first == 0 {
+				first = page.Revision
+			}
+			now := time.Now()
+			for _, r := range page.Records {
+				listed[r.Name] = true
+				changed = d.take(now, r) || changed
+			}
+			if page.More == "" {
+				break
+			}
+			after = page.More
+		}
+		changed = d.keep(area, listed, revision) || changed
+	}
+	// Pages are no snapshot: the watch goes on from the first of them, and what it
+	// tells again is older or the same.
+	d.state.revision = max(d.state.revision, first)
+	d.synced = true
+	d.opts.Log.WithFields(logrus.Fields{
+		"revision": first, "replicas": d.state.replicas.Len(), "took_ms": time.Since(began).Milliseconds(),
+	}).Info("read the store")
+	d.publish(changed || d.View() == nil)
+	return nil
+}
+
+func (d *Directory) page(ctx context.Context, area Area, after string) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, defaultCallTimeout)
+	defer cancel()
+	return d.opts.Store.Read(ctx, area, after)
+}
+
+// keep drops what a complete reading of an area did not list.
+func (d *Directory) keep(area Area, listed map[string]bool, revision uint64) bool {
+	now := time.Now()
+	switch area {
+	case AreaReplicas:
+		return d.state.replicas.RemoveMissing(now, listed, revision, now.Before(d.doubtfulTill))
+	case AreaNodes:
+		d.state.nodes.keep(now, listed)
+	case AreaOperators:
+		return d.state.keepOut(listed)
+	}
+	return false
+}
+
+// watch waits for changes and applies them.
+func (d *Directory) watch(ctx context.Context) error {
+	asked := time.Now()
+	page, err := d.changes(ctx)
+	if errors.Is(err, ErrCompacted) {
+		d.opts.Log.WithField("revision", d.state.revision).Info("the store dropped its history: reading anew")
+		d.synced = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	d.succeeded()
+	now := time.Now()
+	changed := false
+	for _, r := range page.Records {
+		changed = d.take(now, r) || changed
+	}
+	d.state.revision = max(d.state.revision, page.Revision)
+	d.publish(changed)
+	sleep(ctx, time.Until(asked.Add(pace)))
+	return nil
+}
+
+func (d *Directory) changes(ctx context.Context) (Page, error) {
+	wait := defaultWait
+	if _, next := d.state.replicas.Expire(time.Now()); !next.IsZero() {
+		wait = min(wait, max(time.Until(next), pace))
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	return d.opts.Store.Watch(ctx, d.state.revision, wait)
+}
+
+func (d *Directory) take(now time.Time, r Record) bool {
+	if r.Fault != nil {
+		d.opts.Log.WithError(r.Fault).WithFields(logrus.Fields{
+			"record": r.Name, "revision": r.Revision,
+		}).Warn("a record cannot be read: passed over")
+	}
+	return d.state.take(now, r, now.Before(d.doubtfulTill))
+}
+
+// publish makes a new view if something changed.
+func (d *Directory) publish(changed bool) {
+	now := time.Now()
+	expired, _ := d.state.replicas.Expire(now)
+	d.nodes.Store(int64(d.state.nodes.count(now)))
+	if d.state.index == nil || !changed && !expired {
+		return
+	}
+	previous := d.View()
+	v := d.state.view(now)
+	d.view.Store(v)
+	if previous == nil || previous.Index.Version != v.Index.Version {
+		d.opts.Log.WithFields(logrus.Fields{
+			"version": v.Index.Version, "revision": v.Revision,
+		}).Info("configuration in force")
+	}
+	if d.opts.Changed != nil {
+		d.opts.Changed(v)
+	}
+}
+
+// succeeded notes that the store answers.
+func (d *Directory) succeeded() {
+	now := time.Now()
+	if d.failing {
+		away := now.Sub(d.lastSuccess)
+		if away >= outageAfter {
+			d.doubtfulTill = now.Add(doubtFor)
+		}
+		d.opts.Log.WithField("away_ms", away.Milliseconds()).Info("the store answers again")
+	}
+	d.failing = false
+	d.lastSuccess = now
+	d.backoff = minBackoff
+}
+
+// failed pauses after a failed call; what is known stays in use.
+func (d *Directory) failed(ctx context.Context, err error) {
+	if !d.failing {
+		d.opts.Log.WithError(err).WithField("revision", d.state.revision).Warn("the store does not answer: going on with what is known")
+	}
+	d.failing = true
+	d.publish(false)
+	sleep(ctx, d.backoff/2+rand.N(d.backoff))
+	d.backoff = min(2*d.backoff, maxBackoff)
+}
+
+// Register keeps the node registered until ctx ends, then withdraws it.
+func (d *Directory) Register(ctx context.Context) {
+	var lease uint64
+	for ctx.Err() == nil {
+		lease = d.registerOnce(ctx, lease)
+		sleep(ctx, renewEvery+rand.N(renewEvery/10))
+	}
+	if lease != 0 {
+		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), defaultCallTimeout)
+		defer cancel()
+		if err := d.opts.Store.Withdraw(ending, lease); err != nil {
+			d.opts.Log.WithError(err).Info("the registration was not withdrawn: it lapses by itself")
+		}
+	}
+}
+
+// registerOnce renews the registration, or makes a new one, and returns its lease; 0
+// when there is none.
+func (d *Directory) registerOnce(ctx context.Context, lease uint64) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, defaultCallTimeout)
+	defer cancel()
+	if lease != 0 {
+		err := d.opts.Store.Renew(ctx, lease)
+		if !errors.Is(err, ErrLeaseEnded) {
+			// Without an answer the lease may live; it is renewed next time.
+			return lease
+		}
+	}
+	lease, err := d.opts.Store.Announce(ctx, d.opts.Node, registrationTTL)
+	if err != nil && ctx.Err() == nil {
+		d.opts.Log.WithError(err).Info("the node is not registered yet")
+	}
+	return lease
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/node/forward/run.go
@@ -0,0 +1,409 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/backend"
+	"github.com/carobmill/carobmill/node/directory"
+	"github.com/carobmill/carobmill/policy/config"
+	"github.com/carobmill/carobmill/policy/gather"
+	"github.com/carobmill/carobmill/policy/route"
+	"github.com/carobmill/carobmill/policy/upstream"
+)
+
+const (
+	// answerMargin is taken off the caller's patience and off the objective, for the
+	// way of the answer.
+	answerMargin = 8 * time.Millisecond
+	// defaultPatience stands in for callers that do not say how long they wait and
+	// routes without a timeout.
+	defaultPatience = 30 * time.Second
+	// lingerFor is how long a loser may go on so that its connection can be kept. It
+	// covers an ordinary pause of a replica; a new connection costs it a slot.
+	lingerFor = 250 * time.Millisecond
+)
+
+// run is one request under way. Its fields belong to the goroutine of serve, but for
+// those that say otherwise.
+type run struct {
+	f     *Forwarder
+	view  *directory.View
+	route *route.Route
+	class *class
+	req   *Request
+
+	names    []string
+	services []*service
+	query    *gather.Query
+	deadline time.Time
+	parts    []backend.ForwardReply
+	tried    [][]string
+	events   chan event
+	// ran is set once an attempt may have run at a replica.
+	ran bool
+	// last is the newest failure that a replica answered with, if any.
+	last   *backend.ForwardReply
+	story  []step
+	hedged int
+	// gone is set when the caller has left: losers then end at once.
+	gone atomic.Bool
+	// cancels end the attempts of each shard that are out.
+	cancels [][]context.CancelFunc
+}
+
+// event is the end of an attempt.
+type event struct {
+	shard int
+	hedge bool
+	step  int
+	reply backend.ForwardReply
+}
+
+func newRun(f *Forwarder, view *directory.View, r *route.Route, c *class, req *Request) *run {
+	q := &run{f: f, view: view, route: r, class: c, req: req, names: c.targets(r)}
+	n := len(q.names)
+	patience := defaultPatience
+	if req.Patience > 0 {
+		patience = req.Patience - answerMargin
+	}
+	if r.Timeout > 0 {
+		patience = min(patience, r.Timeout)
+	}
+	q.deadline = req.Arrived.Add(patience)
+	minCoverage := 1.0
+	if r.Gathers() {
+		minCoverage = r.MinCoverage
+	}
+	attempts := max(r.MaxAttempts, 1)
+	q.query = gather.New(gather.Params{
+		Shards:      n,
+		MaxAttempts: attempts,
+		MinCoverage: minCoverage,
+		Objective:   max(r.Objective-answerMargin, 0),
+		Deadline:    patience,
+		Idempotent:  r.Idempotent,
+	})
+	q.services = make([]*service, n)
+	q.parts = make([]backend.ForwardReply, n)
+	q.tried = make([][]string, n)
+	q.cancels = make([][]context.CancelFunc, n)
+	// Room for every attempt, so that none waits for a run that has ended.
+	q.events = make(chan event, n*(attempts+maxElsewhere))
+	return q
+}
+
+// maxElsewhere bounds the attempts of a shard that reached a replica that was not
+// meant, or none: they do not count as attempts.
+const maxElsewhere = 4
+
+func (q *run) since() time.Duration { return time.Since(q.req.Arrived) }
+
+// serve carries the request to its answer.
+func (q *run) serve(ctx context.Context) Answer {
+	// Attempts outlive ctx by lingerFor at most; what ends them says whether they may.
+	attempts, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
+	defer cancel()
+	now := time.Now()
+	for i, name := range q.names {
+		s := q.f.service(name)
+		q.services[i] = s
+		s.mu.Lock()
+		s.budget.Request(now)
+		s.mu.Unlock()
+		if !q.send(attempts, i, false) {
+			q.query.GiveUp(i)
+		}
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		next := q.hedges(attempts)
+		verdict, look := q.query.Judge(q.since())
+		if verdict != gather.Wait {
+			return q.finish(verdict)
+		}
+		timer.Reset(max(min(next, look)-q.since(), 0))
+		select {
+		case e := <-q.events:
+			q.take(attempts, e)
+		case <-timer.C:
+		case <-ctx.Done():
+			q.gone.Store(true)
+			return q.finish(gather.Late)
+		}
+	}
+}
+
+// hedges sends the hedges that are due and returns when the next one is.
+func (q *run) hedges(ctx context.Context) time.Duration {
+	after := q.class.hedgeAfter(q.route.Objective)
+	return q.query.Hedges(q.since(), after, func(i int) {
+		if !q.send(ctx, i, true) {
+			q.query.GiveUp(i)
+			return
+		}
+		q.hedged++
+	})
+}
+
+// send sends an attempt for a shard and reports whether it could. Every attempt but a
+// shard's first comes out of the service's budget for extra requests.
+func (q *run) send(ctx context.Context, i int, hedge bool) bool {
+	s := q.services[i]
+	now := time.Now()
+	extra := len(q.tried[i]) > 0
+	nodes := q.f.opts.Source.Nodes()
+	s.mu.Lock()
+	st := s.set.Pick(now, q.pickFor(i, hedge, nodes))
+	if st != nil && extra && !s.budget.Take(now, nodes) {
+		st = nil
+	}
+	if st == nil {
+		s.mu.Unlock()
+		return false
+	}
+	handle := s.set.Sent(now, st, q.route.Name)
+	replica := *st.Replica
+	s.mu.Unlock()
+	q.tried[i] = append(q.tried[i], replica.ID)
+	q.query.Sent(i, q.since())
+	q.story = append(q.story, step{shard: i, replica: replica.ID, at: q.since(), hedge: hedge})
+	e := event{shard: i, hedge: hedge, step: len(q.story) - 1}
+	attempt, cancel := context.WithCancel(ctx)
+	q.cancels[i] = append(q.cancels[i], cancel)
+	call := q.call(replica.ID, replica.Address)
+	go func() {
+		defer cancel()
+		e.reply = q.f.opts.Backend.Forward(attempt, call, q.f.opts.Dialect)
+		q.settle(s, st, handle, &e.reply)
+		if !extra && e.reply.Took > 0 {
+			q.class.observe(e.reply.Took)
+		}
+		q.events <- e
+	}()
+	return true
+}
+
+func (q *run) pickFor(i int, hedge bool, nodes int) upstream.Request {
+	r := upstream.Request{
+		Class:           q.route.Name,
+		DataCentre:      q.f.opts.DataCentre,
+		ConnectionsEach: assumedConnections,
+		ColdPerSecond:   -1,
+		Spare:           hedge,
+	}
+	tried := q.tried[i]
+	if len(tried) > 0 {
+		r.Tried = func(id string) bool {
+			for _, t := range tried {
+				if t == id {
+					return true
+				}
+			}
+			return false
+		}
+	}
+	spec := q.view.Index.Service(q.names[i])
+	r.ConnectionsEach = connectionShare(spec, nodes)
+	if spec != nil && spec.ColdPerSecond > 0 {
+		r.ColdPerSecond = spec.ColdPerSecond / float64(nodes+1)
+	}
+	return r
+}
+
+func (q *run) call(id, address string) *backend.Forward {
+	return &backend.Forward{
+		Replica:   &config.Replica{Name: id, Address: address},
+		RequestID: q.req.ID,
+		Method:    q.req.Method,
+		Target:    q.req.Target,
+		Host:      q.req.Host,
+		Header:    q.req.Header,
+		Body:      q.req.Body,
+		Deadline:  q.deadline,
+		Linger:    q.linger,
+	}
+}
+
+// linger is how long an attempt that nobody waits for may go on.
+func (q *run) linger() time.Duration {
+	if q.gone.Load() {
+		return 0
+	}
+	return lingerFor
+}
+
+// settle tells the service's tables how an attempt ended.
+func (q *run) settle(s *service, st *upstream.State, handle uint64, reply *backend.ForwardReply) {
+	sample := upstream.Sample{
+		Handle: handle,
+		Class:  q.route.Name,
+		Took:   reply.Took,
+		Result: resultOf(reply),
+		Load:   reply.Notes.Load,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set.Done(time.Now(), st, sample)
+}
+
+// resultOf classifies a reply for the choice of replicas.
+func resultOf(reply *backend.ForwardReply) upstream.Result {
+	switch {
+	case reply.Notes.OtherReplica:
+		return upstream.Elsewhere
+	case reply.Notes.NotRun:
+		return upstream.Refused
+	case good(reply):
+		return upstream.Answered
+	case reply.Status != 0 && reply.Status < http.StatusInternalServerError:
+		// The replica's own word about the request, such as 404.
+		return upstream.Answered
+	case reply.Status != 0 || reply.Reason == pb.Reason_REASON_MISMATCH:
+		return upstream.Failed
+	case reply.Reason == pb.Reason_REASON_CANCELLED || reply.Reason == pb.Reason_REASON_DEADLINE:
+		return upstream.Abandoned
+	case reply.Reason == pb.Reason_REASON_LIMIT:
+		return upstream.Abandoned
+	}
+	return upstream.Unreachable
+}
+
+// good reports whether a reply is a complete and genuine success.
+func good(reply *backend.ForwardReply) bool {
+	return reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices &&
+		reply.Notes.Signature != "" && reply.Header.Get("Content-Encoding") == "" && !reply.Notes.NotRun
+}
+
+// take deals with the end of an attempt.
+func (q *run) take(ctx context.Context, e event) {
+	q.story[e.step].end(q.since(), &e.reply)
+	if q.accepts(&e.reply) {
+		if q.query.Answered(e.shard) {
+			q.parts[e.shard] = e.reply
+			q.endOthers(e.shard)
+		}
+		return
+	}
+	if e.reply.Evidence != pb.Evidence_EVIDENCE_NOT_RUN {
+		q.ran = true
+	}
+	if e.reply.Status != 0 && !e.reply.Notes.NotRun && !e.reply.Notes.OtherReplica {
+		q.last = &e.reply
+	}
+	reached := e.reply.Status != 0 && !e.reply.Notes.OtherReplica || e.reply.Evidence != pb.Evidence_EVIDENCE_NOT_RUN
+	if !reached && len(q.tried[e.shard]) > maxElsewhere {
+		reached = true
+	}
+	retry := q.query.Failed(e.shard, reached)
+	mayRun := q.route.Idempotent || e.reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN
+	if retry && mayRun && q.send(ctx, e.shard, false) {
+		return
+	}
+	if !mayRun {
+		q.query.GiveUp(e.shard)
+		return
+	}
+	q.query.Settle(e.shard)
+}
+
+// accepts reports whether a reply is the answer of its shard. Without shards to merge,
+// a replica's word about the request itself, such as 404, is its answer too.
+func (q *run) accepts(reply *backend.ForwardReply) bool {
+	if good(reply) {
+		return true
+	}
+	if q.route.Gathers() || reply.Notes.NotRun || reply.Notes.OtherReplica {
+		return false
+	}
+	return reply.Status >= http.StatusMultipleChoices && reply.Status < http.StatusInternalServerError &&
+		reply.Status != http.StatusTooManyRequests && reply.Status != http.StatusRequestTimeout
+}
+
+// endOthers ends the attempts of a shard whose part is in.
+func (q *run) endOthers(shard int) {
+	for _, cancel := range q.cancels[shard] {
+		cancel()
+	}
+	q.cancels[shard] = nil
+}
+
+// finish makes the answer.
+func (q *run) finish(verdict gather.Verdict) Answer {
+	a := q.answer(verdict)
+	q.log(&a)
+	return a
+}
+
+func (q *run) answer(verdict gather.Verdict) Answer {
+	if verdict == gather.Success {
+		if q.route.Gathers() {
+			return q.merge()
+		}
+		part := q.parts[0]
+		return Answer{Outcome: Passed, Status: part.Status, Header: part.Header, Body: part.Body}
+	}
+	if len(q.story) > 0 {
+		q.noteOutstanding()
+	}
+	switch {
+	case !q.ran:
+		return Answer{Outcome: NotRun, RetryAfter: q.retryAfter()}
+	case verdict == gather.Late:
+		return Answer{Outcome: Late}
+	case !q.route.Gathers() && q.last != nil:
+		return Answer{Outcome: Passed, Status: q.last.Status, Header: q.last.Header, Body: q.last.Body}
+	}
+	return Answer{Outcome: Failed}
+}
+
+// noteOutstanding counts attempts that are out as possibly run.
+func (q *run) noteOutstanding() {
+	for i := range q.story {
+		if !q.story[i].ended {
+			q.ran = true
+		}
+	}
+}
+
+func (q *run) merge() Answer {
+	a := Answer{Outcome: Merged, Status: http.StatusOK}
+	bodies := make([][]byte, 0, len(q.parts))
+	for i := range q.parts {
+		if !q.query.Has(i) {
+			a.Missing++
+			continue
+		}
+		a.Signatures = append(a.Signatures, q.parts[i].Notes.Signature)
+		bodies = append(bodies, q.parts[i].Body)
+	}
+	a.Body = gather.Greatest(bodies, q.route.TopRecords)
+	return a
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound what a refused caller is told. A replica
+	// that refuses has a queue of a few requests, which is worked off in a tenth of a
+	// second or two.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Second
+)
+
+// retryAfter tells a caller whose request has not run when to come back: after a few
+// requests' time at the slowest of its services.
+func (q *run) retryAfter() time.Duration {
+	wait := minRetryAfter
+	for _, s := range q.services {
+		if s == nil {
+			continue
+		}
+		s.mu.Lock()
+		wait = max(wait, 2*s.set.Expected(q.route.Name))
+		s.mu.Unlock()
+	}
+	return min(wait, maxRetryAfter)
+}
--- /dev/null
+++ b/node/forward/story.go
@@ -0,0 +1,90 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/carobmill/carobmill/node/backend"
+)
+
+// step is one attempt of a request, for its log line.
+type step struct {
+	shard   int
+	replica string
+	at      time.Duration
+	hedge   bool
+	ended   bool
+	endedAt time.Duration
+	status  int
+	why     string
+}
+
+func (s *step) end(at time.Duration, reply *backend.ForwardReply) {
+	s.ended = true
+	s.endedAt = at
+	s.status = reply.Status
+	switch {
+	case reply.Notes.OtherReplica:
+		s.why = "other replica"
+	case reply.Notes.NotRun:
+		s.why = "refused"
+	case reply.Status == 0:
+		s.why = reply.Reason.String() + "/" + reply.Evidence.String()
+	case !good(reply):
+		s.why = "not a success"
+	}
+}
+
+// attemptLine is a step in a log line. Times are milliseconds after the arrival.
+type attemptLine struct {
+	Service string  `json:"service"`
+	Replica string  `json:"replica"`
+	At      float64 `json:"at_ms"`
+	End     float64 `json:"end_ms,omitempty"`
+	Hedge   bool    `json:"hedge,omitempty"`
+	Status  int     `json:"status,omitempty"`
+	Why     string  `json:"why,omitempty"`
+}
+
+// log writes one line about the request: each of those that failed or were late, as
+// far as their budget goes, and a few of the others. Attempts without a fault are left
+// out of the line of a request that has one.
+func (q *run) log(a *Answer) {
+	took := q.since()
+	late := q.route.Objective > 0 && took > q.route.Objective
+	fault := a.Outcome >= NoRoute || a.Missing > 0 || late
+	if !q.f.lines.take(time.Now(), fault) {
+		return
+	}
+	attempts := make([]attemptLine, 0, len(q.story))
+	for _, s := range q.story {
+		if fault && s.ended && s.why == "" && !s.hedge && s.endedAt < q.route.Objective/2 {
+			continue
+		}
+		attempts = append(attempts, attemptLine{
+			Service: q.names[s.shard], Replica: s.replica, At: ms(s.at), End: ms(s.endedAt),
+			Hedge: s.hedge, Status: s.status, Why: s.why,
+		})
+	}
+	q.f.opts.Log.WithFields(logrus.Fields{
+		"request":  q.req.ID,
+		"route":    q.route.Name,
+		"version":  q.view.Index.Version,
+		"revision": q.view.Revision,
+		"view_ms":  time.Since(q.view.At).Milliseconds(),
+		"outcome":  a.Outcome.String(),
+		"status":   a.Status,
+		"took_ms":  ms(took),
+		"limit_ms": ms(q.deadline.Sub(q.req.Arrived)),
+		"missing":  a.Missing,
+		"gone":     q.gone.Load(),
+		"shards":   len(q.names),
+		"hedges":   q.hedged,
+		"attempts": attempts,
+	}).Info("request")
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,251 @@
+// Package gateway assembles a forwarding node: it follows the platform's store,
+// forwards callers' requests to the replicas found there, and shuts down without
+// cutting a request. What speaks to the outside is an Adapter.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/admin"
+	"github.com/carobmill/carobmill/node/backend"
+	"github.com/carobmill/carobmill/node/directory"
+	"github.com/carobmill/carobmill/node/forward"
+	"github.com/carobmill/carobmill/node/ring"
+	"github.com/carobmill/carobmill/node/telemetry"
+	"github.com/carobmill/carobmill/policy/retrybudget"
+	"github.com/carobmill/carobmill/policy/route"
+)
+
+// Adapter translates between a platform and the product.
+type Adapter interface {
+	// Store is the platform's store.
+	Store() directory.Store
+	// Dialect is how backend servers speak.
+	Dialect() backend.Dialect
+	// Handler serves callers.
+	Handler(Service) http.Handler
+}
+
+// Service answers callers' requests.
+type Service interface {
+	Serve(ctx context.Context, req *forward.Request) forward.Answer
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes() int64
+	// Closing reports whether connections are to be closed after their answer.
+	Closing() bool
+}
+
+// Gateway is one forwarding node.
+type Gateway struct {
+	settings  *pb.Settings
+	log       logrus.FieldLogger
+	boot      uint64
+	ring      *ring.Ring
+	metrics   *telemetry.Metrics
+	directory *directory.Directory
+	backends  *backend.Client
+	forwarder *forward.Forwarder
+
+	callerServer *http.Server
+	adminServer  *http.Server
+
+	// stopping is set when a graceful shutdown has begun, closing when connections
+	// are to be closed after their answer.
+	stopping, closing atomic.Bool
+}
+
+const (
+	// dialTimeout bounds a connection to a replica. Inside a region it takes a
+	// millisecond or two, and ten where the replica is busy.
+	dialTimeout = 500 * time.Millisecond
+	// holdClosed is how long a closed connection counts against a replica's limit
+	// when the replica does not confirm it.
+	holdClosed = 2 * time.Second
+	// maxHeaderBytes bounds a request's headers.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds the time to send them.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes idle connections of callers; above any limit that operators
+	// let callers rely on.
+	idleTimeout = 2 * time.Minute
+)
+
+// New builds a forwarding node from checked settings. It opens nothing yet.
+func New(settings *pb.Settings, log logrus.FieldLogger, adapter Adapter) *Gateway {
+	metrics, metricsHandler := telemetry.New()
+	g := &Gateway{
+		settings: settings,
+		log:      log.WithField("node", settings.GetNode()),
+		boot:     rand.Uint64(),
+		ring:     ring.New(int(settings.GetLimits().GetRingSize()), metrics.Decision),
+		metrics:  metrics,
+	}
+	g.backends = backend.New(backend.Options{
+		DialTimeout:    dialTimeout,
+		HoldClosed:     holdClosed,
+		MaxResultBytes: int64(settings.GetLimits().GetMaxResultBytes()),
+		Event:          g.event,
+	})
+	metrics.AddSource(g.backends.Report)
+	g.directory = directory.New(directory.Options{
+		Store:   adapter.Store(),
+		Node:    settings.GetNode(),
+		Log:     g.log,
+		Changed: g.changed,
+	})
+	extra := settings.GetForwarding()
+	g.forwarder = forward.New(forward.Options{
+		Source:     g.directory,
+		Backend:    g.backends,
+		Dialect:    adapter.Dialect(),
+		DataCentre: settings.GetDataCentre(),
+		Extra: retrybudget.Bound{
+			Ratio:  extra.GetExtraRatio(),
+			Slack:  extra.GetExtraSlack(),
+			Window: seconds(extra.GetExtraWindowS()),
+		},
+		Log:    g.log,
+		Record: g.record,
+	})
+	g.callerServer = &http.Server{
+		Handler:           adapter.Handler(g),
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	g.adminServer = &http.Server{
+		Handler: admin.NewHandler(admin.Options{
+			Ready:   g.Ready,
+			Status:  g,
+			Ring:    g.ring,
+			Metrics: metricsHandler,
+		}),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	return g
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// event records a decision of one of the parts.
+func (g *Gateway) event(kind, subject, detail string) {
+	g.ring.Add(ring.Kind(kind), subject, detail)
+	g.log.WithFields(logrus.Fields{"kind": kind, "subject": subject}).Info(detail)
+}
+
+// changed takes a new view of the directory.
+func (g *Gateway) changed(v *directory.View) { g.forwarder.Update(v) }
+
+// record counts an ended request.
+func (g *Gateway) record(r *route.Route, a *forward.Answer, took time.Duration) {
+	q := telemetry.Query{Service: r.Name, Class: r.Name, Took: took, OnTime: took <= r.Objective}
+	switch a.Outcome {
+	case forward.Passed, forward.Merged:
+		q.Outcome, q.Coverage = telemetry.OutcomeComplete, 1
+		if a.Missing > 0 {
+			q.Outcome = telemetry.OutcomePartial
+			q.Coverage = float64(len(a.Signatures)) / float64(len(a.Signatures)+a.Missing)
+		}
+	case forward.NotRun, forward.NoRoute:
+		q.Outcome = telemetry.OutcomeRefused
+	default:
+		q.Outcome = telemetry.OutcomeUnknown
+	}
+	g.metrics.Query(q)
+}
+
+// Serve implements Service.
+func (g *Gateway) Serve(ctx context.Context, req *forward.Request) forward.Answer {
+	return g.forwarder.Serve(ctx, req)
+}
+
+// MaxBodyBytes implements Service.
+func (g *Gateway) MaxBodyBytes() int64 {
+	own := int64(g.settings.GetLimits().GetMaxBodyBytes())
+	if v := g.directory.View(); v != nil && v.Index.Limits.MaxBodyBytes > 0 {
+		return v.Index.Limits.MaxBodyBytes
+	}
+	return own
+}
+
+// Closing implements Service.
+func (g *Gateway) Closing() bool { return g.closing.Load() }
+
+// Ready reports whether the balancer may send callers here, and why not.
+func (g *Gateway) Ready() (bool, string) {
+	if g.stopping.Load() {
+		return false, "shutting down"
+	}
+	if g.directory.View() == nil {
+		return false, "no configuration is known yet"
+	}
+	return true, ""
+}
+
+// NodeStatus implements admin.Status. It describes this node only.
+func (g *Gateway) NodeStatus(context.Context, bool) []*pb.NodeStatus {
+	ready, reason := g.Ready()
+	status := &pb.NodeStatus{
+		Node:          g.settings.GetNode(),
+		DataCentre:    g.settings.GetDataCentre(),
+		Boot:          g.boot,
+		Ready:         ready,
+		UnreadyReason: reason,
+		MembersAlive:  uint32(g.directory.Nodes()),
+	}
+	if v := g.directory.View(); v != nil {
+		status.ConfigVersion = v.Index.Version
+	}
+	return []*pb.NodeStatus{status}
+}
+
+// Run opens the node's ports and serves until ctx ends, then shuts down gracefully. An
+// error means that a port could not be opened or failed.
+func (g *Gateway) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", g.settings.GetCallerAddress())
+	if err != nil {
+		return errors.Wrap(err, "listener of callers")
+	}
+	operators, err := net.Listen("tcp", g.settings.GetAdminAddress())
+	if err != nil {
+		_ = callers.Close()
+		return errors.Wrap(err, "listener of operators")
+	}
+	g.log.WithFields(logrus.Fields{
+		"callers": callers.Addr().String(), "data_centre": g.settings.GetDataCentre(), "boot": g.boot,
+	}).Info("start")
+	// The directory outlives ctx, because work in flight needs it until the end of
+	// the shutdown.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var parts sync.WaitGroup
+	parts.Go(func() { g.directory.Run(background) })
+	parts.Go(func() { g.directory.Register(ctx) })
+	failed := make(chan error, 2)
+	go func() { failed <- g.adminServer.Serve(operators) }()
+	go func() { failed <- g.callerServer.Serve(callers) }()
+	select {
+	case <-ctx.Done():
+		g.shutdown()
+	case err = <-failed:
+		g.log.WithError(err).Error("a listener has failed")
+	}
+	stop()
+	_ = g.callerServer.Close()
+	_ = g.adminServer.Close()
+	g.backends.Close()
+	g.metrics.Close()
+	parts.Wait()
+	g.log.Info("stop")
+	return err
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -29,6 +29,9 @@
 	DefaultBackendPollMs       = 1000
 	DefaultBalancerLagMs       = 3000
 	DefaultDrainTimeoutMs      = 30000
+
+	DefaultExtraWindowS = 10
+	DefaultGraceS       = 30
 )
 
 // Load reads and checks the settings in a file. Without faults the settings
@@ -75,6 +78,9 @@
 		out.Timing = &pb.Timing{}
 	}
 	timingDefaults(out.Timing)
+	if out.Forwarding != nil {
+		forwardingDefaults(out.Forwarding)
+	}
 	return out
 }
 
@@ -99,6 +105,17 @@
 	t.DrainTimeoutMs = orDefault(t.DrainTimeoutMs, DefaultDrainTimeoutMs)
 }
 
+// forwardingDefaults fills in what has no meaning as 0. A ratio and a slack of 0
+// forbid retries and hedges.
+func forwardingDefaults(f *pb.Forwarding) {
+	if f.ExtraWindowS == 0 {
+		f.ExtraWindowS = DefaultExtraWindowS
+	}
+	if f.GraceS == 0 {
+		f.GraceS = DefaultGraceS
+	}
+}
+
 func orDefault(value, fallback uint32) uint32 {
 	if value == 0 {
 		return fallback
--- /dev/null
+++ b/policy/retrybudget/retrybudget.go
@@ -0,0 +1,113 @@
+// Package retrybudget bounds the requests that the whole fleet sends to a service
+// beyond the first of each caller's request: retries and hedges. No node asks another:
+// each spends a part of the bound that depends on its own traffic only, and the parts
+// add up to less than the bound.
+package retrybudget
+
+import "time"
+
+// Bound is what the operators allow the fleet.
+type Bound struct {
+	// Ratio is the extra requests allowed for each request in a window.
+	Ratio float64
+	// Slack is the extra requests allowed in a window whatever the traffic.
+	Slack float64
+	// Window is the length of the sliding window.
+	Window time.Duration
+}
+
+const (
+	// buckets is how finely the window is cut. Extras are counted over one bucket
+	// more than the window and requests over one less, so that any window that
+	// slides over bucket borders keeps the bound.
+	buckets = 20
+	// margin is the part of the bound that nodes plan to use. The rest covers
+	// requests that were counted here but whose callers had left before.
+	margin = 0.9
+	// slackMargin is the part of the slack that is dealt out. The rest covers nodes
+	// that joined but are not known to all yet.
+	slackMargin = 0.7
+)
+
+// Budget is one node's part for one service. Not safe for concurrent use.
+type Budget struct {
+	bound    Bound
+	started  time.Time
+	last     int64
+	requests [buckets + 1]int
+	extras   [buckets + 1]int
+}
+
+// New returns an empty budget.
+func New(b Bound, now time.Time) *Budget {
+	return &Budget{bound: b, started: now}
+}
+
+// Request counts a caller's request to the service.
+func (b *Budget) Request(now time.Time) {
+	b.requests[b.advance(now)]++
+}
+
+// Take reports whether one more extra request may be sent, and counts it. nodes is
+// the number of nodes that share the slack.
+func (b *Budget) Take(now time.Time, nodes int) bool {
+	i := b.advance(now)
+	if float64(b.spent()+1) > b.allowed(now, i, nodes) {
+		return false
+	}
+	b.extras[i]++
+	return true
+}
+
+// Return gives back an extra request that reached no replica.
+func (b *Budget) Return(now time.Time) {
+	i := b.advance(now)
+	if b.extras[i] > 0 {
+		b.extras[i]--
+	}
+}
+
+// Left returns the part of the budget that is unspent, 0 to 1.
+func (b *Budget) Left(now time.Time, nodes int) float64 {
+	allowed := b.allowed(now, b.advance(now), nodes)
+	if allowed <= 0 {
+		return 0
+	}
+	return max(0, 1-float64(b.spent())/allowed)
+}
+
+// allowed is this node's part. A node that has just started does not know what it
+// sent before its restart, so its part of the slack grows over the first window:
+// otherwise a fleet that is restarted within a window would spend its slack twice.
+func (b *Budget) allowed(now time.Time, current, nodes int) float64 {
+	requests := 0
+	oldest := (current + 1) % len(b.requests)
+	for i, n := range b.requests {
+		if i != oldest {
+			requests += n
+		}
+	}
+	age := min(1, float64(now.Sub(b.started))/float64(b.bound.Window))
+	slack := slackMargin * b.bound.Slack / float64(max(nodes, 1)) * age
+	return margin*b.bound.Ratio*float64(requests) + slack
+}
+
+func (b *Budget) spent() int {
+	extras := 0
+	for _, n := range b.extras {
+		extras += n
+	}
+	return extras
+}
+
+// advance clears the buckets that have passed and returns the current one.
+func (b *Budget) advance(now time.Time) int {
+	width := max(b.bound.Window/buckets, time.Millisecond)
+	tick := int64(now.Sub(b.started) / width)
+	for step := min(tick-b.last, int64(len(b.extras))); step > 0; step-- {
+		i := (tick - step + 1) % int64(len(b.extras))
+		b.requests[i], b.extras[i] = 0, 0
+	}
+	b.last = max(b.last, tick)
+	return int(b.last % int64(len(b.extras)))
+}
--- /dev/null
+++ b/policy/upstream/upstream.go
@@ -0,0 +1,345 @@
+// Package upstream chooses the replica of one service that a request goes to, from
+// what this node has seen of each: answers, latency, load, failures and requests that
+// are still out. Nothing in it does I/O or reads a clock.
+package upstream
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/carobmill/carobmill/policy/registry"
+)
+
+const (
+	// latencyWeight of a new sample in a replica's slowness. At some seven samples a
+	// second to each replica it follows a change within half a second.
+	latencyWeight = 0.3
+	// expectedWeight of a new sample in a class's expected latency, which must not
+	// follow a stretch of slow replicas.
+	expectedWeight = 0.02
+	// maxSlowness bounds what a single sample counts for.
+	maxSlowness = 20
+	// forgetSlowness is the time in which half of a replica's excess over normal is
+	// forgotten while it gets no requests, so that it is tried again.
+	forgetSlowness = 1500 * time.Millisecond
+	// failureWeight of a new outcome in a replica's failure rate, and the time in
+	// which half of that is forgotten.
+	failureWeight = 0.25
+	forgetFailure = 2 * time.Second
+	// failureCost is how much a failure costs in units of an expected latency: a
+	// retry and the wait before it, and a part of the extra-request budget.
+	failureCost = 8
+	// stalledAfter is the multiple of a class's expected latency after which a
+	// request that is still out tells that its replica stands still.
+	stalledAfter = 2.0
+	// queueCost is the share of an expected latency that each request in flight from
+	// this node adds.
+	queueCost = 0.5
+	// loadFresh is how long a load report counts.
+	loadFresh = 300 * time.Millisecond
+	// awayCost is added for a replica in another data centre: bytes between data
+	// centres are priced and the way is a little longer. Small, so that it decides
+	// only between replicas that are otherwise alike.
+	awayCost = 0.15
+	// jitter spreads the choices of many nodes that see the same.
+	jitter = 0.25
+	// coldCost is how much slower a replica is expected to be while it is cold.
+	coldCost = 1.6
+	// minPause and maxPause bound how long a replica that fails rests.
+	minPause = 250 * time.Millisecond
+	maxPause = 3 * time.Second
+	// defaultExpected stands in for a class without a sample.
+	defaultExpected = 20 * time.Millisecond
+	// minExpected keeps ratios meaningful for very short requests.
+	minExpected = 2 * time.Millisecond
+)
+
+// Result is how an attempt at a replica ended.
+type Result int
+
+// Results of attempts.
+const (
+	// Answered: the replica gave a complete answer of success.
+	Answered Result = iota
+	// Refused: the replica stated that it did not run the request.
+	Refused
+	// Failed: the replica answered with a failure of its own, or spoilt the answer.
+	Failed
+	// Unreachable: no connection, or one that was lost.
+	Unreachable
+	// Abandoned: nobody waits for the answer any more.
+	Abandoned
+	// Elsewhere: another replica answered at the address.
+	Elsewhere
+)
+
+// Load is what a replica told of its queue.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// State is what this node knows of one replica.
+type State struct {
+	Replica *registry.Replica
+
+	slowness   float64
+	seen       time.Time
+	failures   float64
+	failedAt   time.Time
+	streak     int
+	pauseUntil time.Time
+	load       Load
+	loadAt     time.Time
+	out        []attempt
+	cold       bucket
+}
+
+// attempt is a request that is out at a replica.
+type attempt struct {
+	id       uint64
+	sent     time.Time
+	expected time.Duration
+}
+
+// Set is what this node knows of one service. Not safe for concurrent use.
+type Set struct {
+	rng      *rand.Rand
+	states   map[string]*State
+	usable   []*State
+	expected map[string]time.Duration
+	nextID   uint64
+}
+
+// NewSet returns an empty set.
+func NewSet(rng *rand.Rand) *Set {
+	return &Set{rng: rng, states: make(map[string]*State), expected: make(map[string]time.Duration)}
+}
+
+// Keep replaces the usable replicas. What is known of those that stay is kept; a new
+// incarnation starts anew.
+func (s *Set) Keep(replicas []*registry.Replica) {
+	kept := make(map[string]*State, len(replicas))
+	s.usable = s.usable[:0]
+	for _, r := range replicas {
+		st := s.states[r.ID]
+		if st == nil || st.Replica.Incarnation != r.Incarnation || st.Replica.Address != r.Address {
+			st = &State{slowness: 1}
+		}
+		st.Replica = r
+		kept[r.ID] = st
+		s.usable = append(s.usable, st)
+	}
+	s.states = kept
+}
+
+// Len returns the number of usable replicas.
+func (s *Set) Len() int { return len(s.usable) }
+
+// Request describes what a replica is chosen for.
+type Request struct {
+	// Class groups requests of like work.
+	Class string
+	// DataCentre of this node.
+	DataCentre string
+	// Tried replicas get no second attempt of the same request.
+	Tried func(id string) bool
+	// ConnectionsEach is how many requests this node may have out at one replica.
+	ConnectionsEach int
+	// ColdPerSecond is this node's part of the rate that a cold replica bears;
+	// negative when there is no bound.
+	ColdPerSecond float64
+	// Spare is set for a request that need not be sent: it goes to no replica that
+	// rests, is cold or stands still.
+	Spare bool
+}
+
+// Pick returns the replica expected to answer first, or nil when none may be used.
+// Replicas that rest after failures come last: one of them is tried when no other is
+// left, since a request that may fail is better than one that is given up.
+func (s *Set) Pick(now time.Time, q Request) *State {
+	var best, resting *State
+	var bestCost float64
+	var restingUntil time.Time
+	for _, st := range s.usable {
+		if q.Tried != nil && q.Tried(st.Replica.ID) {
+			continue
+		}
+		if len(st.out) >= q.ConnectionsEach || !st.bears(now, q) {
+			continue
+		}
+		if now.Before(st.pauseUntil) {
+			if !q.Spare && (resting == nil || st.pauseUntil.Before(restingUntil)) && len(st.out) == 0 {
+				resting, restingUntil = st, st.pauseUntil
+			}
+			continue
+		}
+		cost := s.cost(now, st, q)
+		if q.Spare && st.stalled(now) {
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = st, cost
+		}
+	}
+	if best == nil {
+		best = resting
+	}
+	if best != nil && best.isCold(now) && q.ColdPerSecond >= 0 {
+		best.cold.take(now, q.ColdPerSecond)
+	}
+	return best
+}
+
+// bears reports whether a cold replica's rate leaves room.
+func (st *State) bears(now time.Time, q Request) bool {
+	if q.ColdPerSecond < 0 || !st.isCold(now) {
+		return true
+	}
+	return !q.Spare && st.cold.has(now, q.ColdPerSecond)
+}
+
+func (st *State) isCold(now time.Time) bool {
+	return now.Before(st.Replica.ColdUntil)
+}
+
+// cost estimates the latency at a replica in units of the class's expected one.
+func (s *Set) cost(now time.Time, st *State, q Request) float64 {
+	slow := st.currentSlowness(now)
+	if st.isCold(now) {
+		slow = max(slow, coldCost)
+	}
+	cost := slow * (1 + queueCost*float64(len(st.out)))
+	if now.Sub(st.loadAt) < loadFresh && st.load.Slots > 0 {
+		// Requests of other nodes that wait there are served first.
+		cost += slow * float64(st.load.Waiting) / float64(st.load.Slots)
+		if st.load.Running >= st.load.Slots {
+			cost += slow * queueCost
+		}
+	}
+	for _, a := range st.out {
+		if age := float64(now.Sub(a.sent)) / float64(a.expected); age > stalledAfter {
+			cost += age
+		}
+	}
+	cost += failureCost * st.failureRate(now)
+	if st.Replica.DataCentre != q.DataCentre {
+		cost += awayCost
+	}
+	return cost * (1 + jitter*(s.rng.Float64()-0.5))
+}
+
+// stalled reports whether a request has been out for so long that the replica stands
+// still or is gone.
+func (st *State) stalled(now time.Time) bool {
+	for _, a := range st.out {
+		if now.Sub(a.sent) > time.Duration(2*stalledAfter*float64(a.expected)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (st *State) currentSlowness(now time.Time) float64 {
+	return 1 + (st.slowness-1)*decay(now.Sub(st.seen), forgetSlowness)
+}
+
+func (st *State) failureRate(now time.Time) float64 {
+	return st.failures * decay(now.Sub(st.failedAt), forgetFailure)
+}
+
+// Expected returns the usual latency of a class at this service.
+func (s *Set) Expected(class string) time.Duration {
+	if d, ok := s.expected[class]; ok {
+		return max(d, minExpected)
+	}
+	return defaultExpected
+}
+
+// Sent counts a request that goes to the replica and returns its handle for Done.
+func (s *Set) Sent(now time.Time, st *State, class string) uint64 {
+	s.nextID++
+	st.out = append(st.out, attempt{id: s.nextID, sent: now, expected: s.Expected(class)})
+	return s.nextID
+}
+
+// Sample is the end of an attempt.
+type Sample struct {
+	Handle uint64
+	Class  string
+	Took   time.Duration
+	Result Result
+	// Load is set when the replica told it.
+	Load *Load
+}
+
+// Done takes the end of an attempt.
+func (s *Set) Done(now time.Time, st *State, sample Sample) {
+	for i, a := range st.out {
+		if a.id == sample.Handle {
+			st.out = append(st.out[:i], st.out[i+1:]...)
+			break
+		}
+	}
+	if sample.Load != nil {
+		st.load, st.loadAt = *sample.Load, now
+	}
+	switch sample.Result {
+	case Answered:
+		s.observe(now, st, sample)
+		st.failed(now, 0)
+		st.streak = 0
+		st.pauseUntil = time.Time{}
+	case Refused:
+		st.failed(now, 1)
+	case Failed:
+		st.failed(now, 1)
+		st.rest(now, 3)
+	case Unreachable:
+		st.failed(now, 1)
+		st.rest(now, 1)
+	case Elsewhere:
+		// The registry's news is old; another replica has the address.
+		st.streak += 3
+		st.rest(now, 1)
+	case Abandoned:
+		// The answer took at least this long; a shorter wait tells nothing.
+		if sample.Took > time.Duration(stalledAfter*float64(s.Expected(sample.Class))) {
+			st.slow(now, float64(sample.Took)/float64(s.Expected(sample.Class)))
+		}
+	}
+}
+
+// rest pauses the replica once so many failures came in a row.
+func (st *State) rest(now time.Time, after int) {
+	st.streak++
+	if st.streak < after {
+		return
+	}
+	pause := minPause << min(st.streak-after, 4)
+	st.pauseUntil = now.Add(min(pause, maxPause))
+}
+
+func (st *State) failed(now time.Time, outcome float64) {
+	st.failures = st.failureRate(now) + failureWeight*(outcome-st.failureRate(now))
+	st.failedAt = now
+}
+
+func (s *Set) observe(now time.Time, st *State, sample Sample) {
+	expected, known := s.expected[sample.Class]
+	if !known {
+		s.expected[sample.Class] = sample.Took
+		expected = sample.Took
+	}
+	ratio := float64(sample.Took) / float64(max(expected, minExpected))
+	st.slow(now, ratio)
+	if !st.isCold(now) {
+		bounded := min(sample.Took, 3*expected)
+		s.expected[sample.Class] = expected + time.Duration(expectedWeight*float64(bounded-expected))
+	}
+}
+
+func (st *State) slow(now time.Time, ratio float64) {
+	current := st.currentSlowness(now)
+	st.slowness = max(current+latencyWeight*(min(ratio, maxSlowness)-current), 0.3)
+	st.seen = now
+}
