Send callers of a cut-off data centre elsewhere, and keep budget for retries

Change: policy/reach judges data centres by their replicas' answers; a node that reaches no other one is unready and closes connections after their answers; hedges use 60% of the extra-request budget; a broken connection counts as a failure and not as an unreachable replica; a node has 60% of its slack from its start. Ruled out: a faster start of the restarted node (ready 24 ms after its start).

--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -94,6 +94,17 @@
 	return ForwardReply{Reason: pb.Reason_REASON_CONNECTION, Evidence: pb.Evidence_EVIDENCE_NOT_RUN}
 }
 
+// Reachable reports whether a connection to an address can be opened before ctx ends.
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	conn, err := c.opts.Dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	// The connection has told what it was opened for.
+	_ = conn.Close()
+	return true
+}
+
 // forward carries one exchange on a connection. stale is set when the connection had
 // been closed before anything was written.
 func (p *pool) forward(ctx context.Context, cn *conn, f *Forward, dialect Dialect) (reply ForwardReply, stale bool) {
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -104,8 +104,10 @@
 	mu       sync.Mutex
 	services map[string]*service
 	classes  map[string]*class
-	// requestLog bounds the lines about requests.
+
+	// lines bounds the log lines about requests.
 	lines *lineBudget
+	reach *reachability
 }
 
 // New returns a forwarder.
@@ -115,6 +117,7 @@
 		services: make(map[string]*service),
 		classes:  make(map[string]*class),
 		lines:    newLineBudget(),
+		reach:    newReachability(o.DataCentre, o.Backend, o.Log),
 	}
 }
 
@@ -146,6 +149,7 @@
 // Update takes a new view: connections to replicas that are gone are closed once they
 // are idle, and tables of services that are gone are dropped.
 func (f *Forwarder) Update(v *directory.View) {
+	f.reach.keep(v)
 	nodes := f.opts.Source.Nodes()
 	known := make(map[string]bool)
 	for name, replicas := range v.Replicas {
--- /dev/null
+++ b/node/forward/reach.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/backend"
+	"github.com/carobmill/carobmill/node/directory"
+	"github.com/carobmill/carobmill/policy/reach"
+	"github.com/carobmill/carobmill/policy/registry"
+)
+
+const (
+	// reachInterval is how often it is judged which data centres are out of reach,
+	// and each of those is tried again.
+	reachInterval = 200 * time.Millisecond
+	// reachTimeout bounds such a try; a connection inside a region takes two
+	// milliseconds.
+	reachTimeout = 150 * time.Millisecond
+	// silentAfter is the age from which an attempt that nobody waits for any more
+	// tells that its replica was silent.
+	silentAfter = 200 * time.Millisecond
+)
+
+// reachability keeps the judgement of which data centres are out of reach.
+//
+// Failure: a data centre is cut off from the others, but callers still reach its nodes.
+// Symptom: every request there waits for replicas that cannot answer and fails, for as
+// long as the cut lasts. A node that reaches no other data centre reports itself
+// unready, so that the balancer sends its callers to nodes that can serve them; it
+// answers those that still come at once.
+type reachability struct {
+	backend *backend.Client
+	log     logrus.FieldLogger
+	// judged is what requests go by.
+	judged atomic.Pointer[judgement]
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	tracker  *reach.Tracker
+	replicas map[string][]*registry.Replica
+}
+
+// judgement is what was known at one moment. Immutable.
+type judgement struct {
+	out      map[string]bool
+	isolated bool
+}
+
+func newReachability(own string, client *backend.Client, log logrus.FieldLogger) *reachability {
+	r := &reachability{backend: client, log: log, tracker: reach.New(own)}
+	r.judged.Store(&judgement{})
+	return r
+}
+
+// keep takes the data centres of a new view.
+func (r *reachability) keep(v *directory.View) {
+	replicas := make(map[string][]*registry.Replica)
+	names := make(map[string]bool)
+	for _, list := range v.Replicas {
+		for _, replica := range list {
+			replicas[replica.DataCentre] = append(replicas[replica.DataCentre], replica)
+			names[replica.DataCentre] = true
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replicas = replicas
+	r.tracker.Keep(time.Now(), names)
+}
+
+// note takes the end of an attempt.
+func (r *reachability) note(replica *registry.Replica, reply *backend.ForwardReply) {
+	answered := reply.Status != 0 || reply.Reason == pb.Reason_REASON_MISMATCH
+	abandoned := reply.Reason == pb.Reason_REASON_CANCELLED || reply.Reason == pb.Reason_REASON_DEADLINE
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case answered:
+		r.tracker.Answered(time.Now(), replica.DataCentre)
+	case abandoned && reply.Took < silentAfter:
+		// It may have been about to answer.
+	default:
+		r.tracker.Silent(replica.DataCentre, replica.ID)
+	}
+}
+
+// out returns the data centres that are out of reach.
+func (r *reachability) out() map[string]bool { return r.judged.Load().out }
+
+// run judges until ctx ends.
+func (r *reachability) run(ctx context.Context) {
+	ticker := time.NewTicker(reachInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, p := range r.judge() {
+			go r.try(ctx, p)
+		}
+	}
+}
+
+// probe is a data centre to try and the replica to try it by.
+type probe struct {
+	centre  string
+	address string
+}
+
+// judge publishes the judgement and returns what to try.
+func (r *reachability) judge() []probe {
+	r.mu.Lock()
+	now := time.Now()
+	names := r.tracker.OutOfReach(now)
+	next := &judgement{isolated: r.tracker.Isolated(now)}
+	var probes []probe
+	if len(names) > 0 {
+		next.out = make(map[string]bool, len(names))
+	}
+	for _, name := range names {
+		next.out[name] = true
+		if list := r.replicas[name]; len(list) > 0 {
+			probes = append(probes, probe{centre: name, address: list[rand.IntN(len(list))].Address})
+		}
+	}
+	r.mu.Unlock()
+	previous := r.judged.Swap(next)
+	if previous.isolated != next.isolated || len(previous.out) != len(next.out) {
+		r.log.WithFields(logrus.Fields{
+			"out_of_reach": strings.Join(names, ","), "isolated": next.isolated,
+		}).Warn("the data centres in reach have changed")
+	}
+	return probes
+}
+
+// try opens a connection to a replica of a data centre that is out of reach.
+func (r *reachability) try(ctx context.Context, p probe) {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	if !r.backend.Reachable(ctx, p.address) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Answered(time.Now(), p.centre)
+}
+
+// Run keeps judging which data centres are in reach until ctx ends.
+func (f *Forwarder) Run(ctx context.Context) { f.reach.run(ctx) }
+
+// Isolated reports whether no other data centre is in reach.
+func (f *Forwarder) Isolated() bool { return f.reach.judged.Load().isolated }
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -39,10 +39,13 @@
 	names    []string
 	services []*service
 	query    *gather.Query
-	deadline time.Time
-	parts    []backend.ForwardReply
-	tried    [][]string
-	events   chan event
+	// outOfReach holds the data centres that could not be reached when the request
+	// came.
+	outOfReach map[string]bool
+	deadline   time.Time
+	parts      []backend.ForwardReply
+	tried      [][]string
+	events     chan event
 	// ran is set once an attempt may have run at a replica.
 	ran bool
 	// last is the newest failure that a replica answered with, if any.
@@ -64,7 +67,7 @@
 }
 
 func newRun(f *Forwarder, view *directory.View, r *route.Route, c *class, req *Request) *run {
-	q := &run{f: f, view: view, route: r, class: c, req: req, names: c.targets(r)}
+	q := &run{f: f, view: view, route: r, class: c, req: req, names: c.targets(r), outOfReach: f.reach.out()}
 	n := len(q.names)
 	patience := defaultPatience
 	if req.Patience > 0 {
@@ -159,7 +162,7 @@
 	nodes := q.f.opts.Source.Nodes()
 	s.mu.Lock()
 	st := s.set.Pick(now, q.pickFor(i, hedge, nodes))
-	if st != nil && extra && !s.budget.Take(now, nodes) {
+	if st != nil && extra && !s.mayRepeat(now, nodes, hedge) {
 		st = nil
 	}
 	if st == nil {
@@ -180,6 +183,7 @@
 		defer cancel()
 		e.reply = q.f.opts.Backend.Forward(attempt, call, q.f.opts.Dialect)
 		q.settle(s, st, handle, &e.reply)
+		q.f.reach.note(&replica, &e.reply)
 		if !extra && e.reply.Took > 0 {
 			q.class.observe(e.reply.Took)
 		}
@@ -188,6 +192,14 @@
 	return true
 }
 
+// mayRepeat takes one request out of the service's budget. s.mu is held.
+func (s *service) mayRepeat(now time.Time, nodes int, hedge bool) bool {
+	if hedge {
+		return s.budget.TakeSpare(now, nodes)
+	}
+	return s.budget.Take(now, nodes)
+}
+
 func (q *run) pickFor(i int, hedge bool, nodes int) upstream.Request {
 	r := upstream.Request{
 		Class:           q.route.Name,
@@ -195,6 +207,7 @@
 		ConnectionsEach: assumedConnections,
 		ColdPerSecond:   -1,
 		Spare:           hedge,
+		OutOfReach:      q.outOfReach,
 	}
 	tried := q.tried[i]
 	if len(tried) > 0 {
@@ -270,7 +283,10 @@
 	case reply.Reason == pb.Reason_REASON_LIMIT:
 		return upstream.Abandoned
 	}
-	return upstream.Unreachable
+	if reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN {
+		return upstream.Unreachable
+	}
+	return upstream.Broken
 }
 
 // good reports whether a reply is a complete and genuine success.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -179,7 +179,7 @@
 }
 
 // Closing implements Service.
-func (g *Gateway) Closing() bool { return g.closing.Load() }
+func (g *Gateway) Closing() bool { return g.closing.Load() || g.forwarder.Isolated() }
 
 // Ready reports whether the balancer may send callers here, and why not.
 func (g *Gateway) Ready() (bool, string) {
@@ -189,6 +189,9 @@
 	if g.directory.View() == nil {
 		return false, "no configuration is known yet"
 	}
+	if g.forwarder.Isolated() {
+		return false, "no other data centre is in reach"
+	}
 	return true, ""
 }
 
@@ -231,6 +234,7 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { g.directory.Run(background) })
 	parts.Go(func() { g.directory.Register(ctx) })
+	parts.Go(func() { g.forwarder.Run(background) })
 	failed := make(chan error, 2)
 	go func() { failed <- g.adminServer.Serve(operators) }()
 	go func() { failed <- g.callerServer.Serve(callers) }()
--- a/policy/retrybudget/retrybudget.go
+++ b/policy/retrybudget/retrybudget.go
@@ -26,7 +26,14 @@
 	margin = 0.9
 	// slackMargin is the part of the slack that is dealt out. The rest covers nodes
 	// that joined but are not known to all yet.
-	slackMargin = 0.7
+	slackMargin = 0.72
+	// startShare is the part of a node's slack that it has at its start; the rest
+	// grows over the first window.
+	startShare = 0.6
+	// spareShare is the part of a node's budget that hedges may use up. A hedge
+	// makes an answer faster, a retry makes it exist: when replicas lose answers,
+	// hedges must not have spent what the retries need.
+	spareShare = 0.6
 )
 
 // Budget is one node's part for one service. Not safe for concurrent use.
@@ -50,34 +57,22 @@
 
 // Take reports whether one more extra request may be sent, and counts it. nodes is
 // the number of nodes that share the slack.
-func (b *Budget) Take(now time.Time, nodes int) bool {
+func (b *Budget) Take(now time.Time, nodes int) bool { return b.take(now, nodes, 1) }
+
+// TakeSpare is Take for a request that need not be sent.
+func (b *Budget) TakeSpare(now time.Time, nodes int) bool { return b.take(now, nodes, spareShare) }
+
+func (b *Budget) take(now time.Time, nodes int, share float64) bool {
 	i := b.advance(now)
-	if float64(b.spent()+1) > b.allowed(now, i, nodes) {
+	if float64(b.spent()+1) > share*b.allowed(now, i, nodes) {
 		return false
 	}
 	b.extras[i]++
 	return true
 }
 
-// Return gives back an extra request that reached no replica.
-func (b *Budget) Return(now time.Time) {
-	i := b.advance(now)
-	if b.extras[i] > 0 {
-		b.extras[i]--
-	}
-}
-
-// Left returns the part of the budget that is unspent, 0 to 1.
-func (b *Budget) Left(now time.Time, nodes int) float64 {
-	allowed := b.allowed(now, b.advance(now), nodes)
-	if allowed <= 0 {
-		return 0
-	}
-	return max(0, 1-float64(b.spent())/allowed)
-}
-
 // allowed is this node's part. A node that has just started does not know what it
-// sent before its restart, so its part of the slack grows over the first window:
+// sent before its restart, so a part of its slack grows over the first window:
 // otherwise a fleet that is restarted within a window would spend its slack twice.
 func (b *Budget) allowed(now time.Time, current, nodes int) float64 {
 	requests := 0
@@ -88,7 +83,7 @@
 		}
 	}
 	age := min(1, float64(now.Sub(b.started))/float64(b.bound.Window))
-	slack := slackMargin * b.bound.Slack / float64(max(nodes, 1)) * age
+	slack := slackMargin * b.bound.Slack / float64(max(nodes, 1)) * (startShare + (1-startShare)*age)
 	return margin*b.bound.Ratio*float64(requests) + slack
 }
 
--- a/policy/upstream/upstream.go
+++ b/policy/upstream/upstream.go
@@ -45,6 +45,8 @@
 	jitter = 0.25
 	// coldCost is how much slower a replica is expected to be while it is cold.
 	coldCost = 1.6
+	// restAfter is how many failures in a row make a replica rest that can be reached.
+	restAfter = 4
 	// minPause and maxPause bound how long a replica that fails rests.
 	minPause = 250 * time.Millisecond
 	maxPause = 3 * time.Second
@@ -65,7 +67,9 @@
 	Refused
 	// Failed: the replica answered with a failure of its own, or spoilt the answer.
 	Failed
-	// Unreachable: no connection, or one that was lost.
+	// Broken: the connection was lost while the request was on it.
+	Broken
+	// Unreachable: no connection could be opened.
 	Unreachable
 	// Abandoned: nobody waits for the answer any more.
 	Abandoned
@@ -93,11 +97,11 @@
 	// arrive at a replica of another service and count against that one's budget for
 	// retries: 43 a second over eight nodes were seen. Only a newer record of the
 	// replica ends it.
-	gone bool
-	load Load
-	loadAt     time.Time
-	out        []attempt
-	cold       bucket
+	gone   bool
+	load   Load
+	loadAt time.Time
+	out    []attempt
+	cold   bucket
 }
 
 // attempt is a request that is out at a replica.
@@ -155,6 +159,8 @@
 	DataCentre string
 	// Tried replicas get no second attempt of the same request.
 	Tried func(id string) bool
+	// OutOfReach data centres get nothing; may be nil.
+	OutOfReach map[string]bool
 	// ConnectionsEach is how many requests this node may have out at one replica.
 	ConnectionsEach int
 	// ColdPerSecond is this node's part of the rate that a cold replica bears;
@@ -173,7 +179,7 @@
 	var bestCost float64
 	var restingUntil time.Time
 	for _, st := range s.usable {
-		if st.gone || q.Tried != nil && q.Tried(st.Replica.ID) {
+		if st.gone || q.OutOfReach[st.Replica.DataCentre] || q.Tried != nil && q.Tried(st.Replica.ID) {
 			continue
 		}
 		if len(st.out) >= q.ConnectionsEach || !st.bears(now, q) {
@@ -303,9 +309,11 @@
 		st.pauseUntil = time.Time{}
 	case Refused:
 		st.failed(now, 1)
-	case Failed:
+	case Failed, Broken:
+		// A replica that loses some of its answers still gives the others: it is
+		// avoided by its failure rate, and rests only when nothing else comes.
 		st.failed(now, 1)
-		st.rest(now, 3)
+		st.rest(now, restAfter)
 	case Unreachable:
 		st.failed(now, 1)
 		st.rest(now, 1)
--- a/policy/upstream/upstream_test.go
+++ b/policy/upstream/upstream_test.go
@@ -122,3 +122,39 @@
 	}
 	c.Assert(sent >= 18 && sent <= 21, qt.IsTrue, qt.Commentf("%d requests in ten seconds", sent))
 }
+
+// Most replicas of a shard lose some of their answers: each loss breaks a connection.
+// They still give the other answers, so none of them may be taken out; a shard whose
+// replicas all rest is lost to every query.
+func TestReplicasThatLoseSomeAnswersStayInUse(t *testing.T) {
+	c := qt.New(t)
+	set, _, now := fleet(3)
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 500 {
+		now = now.Add(20 * time.Millisecond)
+		result := upstream.Answered
+		if rng.Float64() < 0.4 {
+			result = upstream.Broken
+		}
+		c.Assert(serve(set, now, request(), 15*time.Millisecond, result), qt.Not(qt.Equals), "")
+	}
+}
+
+// One of three replicas refuses most requests although it is well by its own word. The
+// others get nearly all, since each refusal costs a retry out of the service's budget.
+func TestReplicaThatRefusesGetsFewRequests(t *testing.T) {
+	c := qt.New(t)
+	set, _, now := fleet(3)
+	refused := 0
+	for range 500 {
+		now = now.Add(20 * time.Millisecond)
+		st := set.Pick(now, request())
+		sample := upstream.Sample{Handle: set.Sent(now, st, class), Class: class, Took: 15 * time.Millisecond}
+		if st.Replica.ID == "r2" {
+			sample.Result, sample.Took = upstream.Refused, time.Millisecond
+			refused++
+		}
+		set.Done(now, st, sample)
+	}
+	c.Assert(refused <= 25, qt.IsTrue, qt.Commentf("%d of 500 requests went to the replica that refuses", refused))
+}
