--- a/node/command/command.go
+++ b/node/command/command.go
@@ -12,6 +12,7 @@
 	"flag"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -95,6 +96,12 @@
 	lines := telemetry.NewQueuedWriter(stdout)
 	defer lines.Close()
 	log.SetOutput(lines)
+	// Libraries write of connections that were given up, as often as replicas spoil
+	// answers; the node's own log tells of those requests.
+	library := log.WriterLevel(logrus.DebugLevel)
+	defer func() { _ = library.Close() }()
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(library)
 	watchReload(ctx, log)
 	n, err := newNode(s, log, adapters)
 	if err != nil {
--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -17,9 +17,9 @@
 	defaultCallTimeout = time.Second
 	// defaultWait is how long a watch waits at the store. A watch whose connection
 	// was forgotten on the way is noticed after defaultWait + watchSlack, inside the
-	// shortest time in which news must take effect (3 s).
-	defaultWait = 1800 * time.Millisecond
-	watchSlack  = 700 * time.Millisecond
+	// 4 s that nodes have after such a loss before news is due again.
+	defaultWait = 3 * time.Second
+	watchSlack  = 600 * time.Millisecond
 	// pace is the least time between two watch calls: the changes of a busy moment
 	// come in one answer, and each call has its price.
 	pace = 200 * time.Millisecond
@@ -30,7 +30,7 @@
 	// outageAfter is the silence of the store from which entries may have lapsed
 	// because their replicas could not renew them, and doubtFor how long after the
 	// store's return a missing entry counts as doubtful.
-	outageAfter = 2500 * time.Millisecond
+	outageAfter = 3800 * time.Millisecond
 	doubtFor    = 2500 * time.Millisecond
 	// registrationTTL and renewEvery keep the node's registration; three renewals
 	// may fail in a row.
