--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -112,13 +112,15 @@
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{
+	f := &Forwarder{
 		opts:     o,
 		services: make(map[string]*service),
 		classes:  make(map[string]*class),
 		lines:    newLineBudget(),
 		reach:    newReachability(o.DataCentre, o.Backend, o.Log),
 	}
+	f.reach.waiting = f.waiting
+	return f
 }
 
 // service is what this node knows of one service.
--- a/node/forward/reach.go
+++ b/node/forward/reach.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,7 +42,11 @@
 	backend *backend.Client
 	log     logrus.FieldLogger
 	// judged is what requests go by.
-	judged atomic.Pointer[judgement]
+	judged atomic.Pointer[reach.Judgement]
+	// waiting returns the attempts that have been out for longer than an age.
+	waiting func(now time.Time, age time.Duration) []reach.Waiting
+	// last is when it was judged last; only run uses it.
+	last time.Time
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -48,15 +54,9 @@
 	replicas map[string][]*registry.Replica
 }
 
-// judgement is what was known at one moment. Immutable.
-type judgement struct {
-	out      map[string]bool
-	isolated bool
-}
-
 func newReachability(own string, client *backend.Client, log logrus.FieldLogger) *reachability {
 	r := &reachability{backend: client, log: log, tracker: reach.New(own)}
-	r.judged.Store(&judgement{})
+	r.judged.Store(&reach.Judgement{})
 	return r
 }
 
@@ -93,7 +93,7 @@
 }
 
 // out returns the data centres that are out of reach.
-func (r *reachability) out() map[string]bool { return r.judged.Load().out }
+func (r *reachability) out() map[string]bool { return r.judged.Load().Out }
 
 // run judges until ctx ends.
 func (r *reachability) run(ctx context.Context) {
@@ -118,26 +118,32 @@
 }
 
 // judge publishes the judgement and returns what to try.
+//
+// Failure: the process stood still, and on waking finds every attempt old and every
+// data centre silent, though their answers lie in its sockets. Symptom: all requests of
+// the next round are refused. A round that comes late judges nothing; by the next one
+// the answers have been read.
 func (r *reachability) judge() []probe {
-	r.mu.Lock()
 	now := time.Now()
-	names := r.tracker.OutOfReach(now)
-	next := &judgement{isolated: r.tracker.Isolated(now)}
-	var probes []probe
-	if len(names) > 0 {
-		next.out = make(map[string]bool, len(names))
+	late := now.Sub(r.last) > 2*reachInterval
+	r.last = now
+	if late {
+		return nil
 	}
-	for _, name := range names {
-		next.out[name] = true
+	waiting := r.waiting(now, silentAfter)
+	r.mu.Lock()
+	next := r.tracker.Judge(now, waiting)
+	var probes []probe
+	for name := range next.Out {
 		if list := r.replicas[name]; len(list) > 0 {
 			probes = append(probes, probe{centre: name, address: list[rand.IntN(len(list))].Address})
 		}
 	}
 	r.mu.Unlock()
-	previous := r.judged.Swap(next)
-	if previous.isolated != next.isolated || len(previous.out) != len(next.out) {
+	previous := r.judged.Swap(&next)
+	if previous.Isolated != next.Isolated || !maps.Equal(previous.Out, next.Out) {
 		r.log.WithFields(logrus.Fields{
-			"out_of_reach": strings.Join(names, ","), "isolated": next.isolated,
+			"out_of_reach": strings.Join(slices.Sorted(maps.Keys(next.Out)), ","), "isolated": next.Isolated,
 		}).Warn("the data centres in reach have changed")
 	}
 	return probes
@@ -155,8 +161,24 @@
 	r.tracker.Answered(time.Now(), p.centre)
 }
 
+// waiting returns the attempts of all services that have been out for longer than age.
+func (f *Forwarder) waiting(now time.Time, age time.Duration) []reach.Waiting {
+	f.mu.Lock()
+	services := slices.Collect(maps.Values(f.services))
+	f.mu.Unlock()
+	var list []reach.Waiting
+	for _, s := range services {
+		s.mu.Lock()
+		s.set.Waiting(now, age, func(r *registry.Replica) {
+			list = append(list, reach.Waiting{DataCentre: r.DataCentre, Replica: r.ID})
+		})
+		s.mu.Unlock()
+	}
+	return list
+}
+
 // Run keeps judging which data centres are in reach until ctx ends.
 func (f *Forwarder) Run(ctx context.Context) { f.reach.run(ctx) }
 
 // Isolated reports whether no other data centre is in reach.
-func (f *Forwarder) Isolated() bool { return f.reach.judged.Load().isolated }
+func (f *Forwarder) Isolated() bool { return f.reach.judged.Load().Isolated }
--- a/policy/reach/reach.go
+++ b/policy/reach/reach.go
@@ -10,7 +10,7 @@
 	// counts as out of reach. Replicas pause for up to a sixth of a second, each at
 	// its own time; a whole data centre never does. A node of a busy fleet hears from
 	// each data centre some fifty times a second.
-	silentFor = 600 * time.Millisecond
+	silentFor = 400 * time.Millisecond
 	// silentAttempts and silentReplicas is the evidence needed beside time: an idle
 	// node hears nothing either, and one dark replica is not a data centre.
 	silentAttempts = 4
@@ -78,36 +78,61 @@
 	}
 }
 
-// Out reports whether the data centre is out of reach.
-func (t *Tracker) Out(now time.Time, name string) bool {
-	c := t.centres[name]
-	return c != nil && c.attempts >= silentAttempts && len(c.silent) >= silentReplicas &&
-		now.Sub(c.answered) >= silentFor
+// Waiting is an attempt that has been out at a replica for longer than replicas pause.
+type Waiting struct {
+	DataCentre, Replica string
 }
 
-// OutOfReach returns the data centres that are out of reach.
-func (t *Tracker) OutOfReach(now time.Time) []string {
-	var names []string
-	for name := range t.centres {
-		if t.Out(now, name) {
-			names = append(names, name)
+// Judgement says what a node can reach. Immutable.
+type Judgement struct {
+	// Out holds the data centres that are out of reach.
+	Out map[string]bool
+	// Isolated is set when every other data centre is out of reach. Callers are then
+	// better served by other nodes.
+	Isolated bool
+}
+
+// Judge weighs the attempts that ended without an answer and those that still wait.
+func (t *Tracker) Judge(now time.Time, waiting []Waiting) Judgement {
+	attempts := make(map[string]int)
+	replicas := make(map[string]map[string]bool)
+	for _, w := range waiting {
+		attempts[w.DataCentre]++
+		if replicas[w.DataCentre] == nil {
+			replicas[w.DataCentre] = make(map[string]bool)
+		}
+		replicas[w.DataCentre][w.Replica] = true
+	}
+	j := Judgement{}
+	others, reached := 0, false
+	for name, c := range t.centres {
+		if c.out(now, attempts[name], replicas[name]) {
+			if j.Out == nil {
+				j.Out = make(map[string]bool)
+			}
+			j.Out[name] = true
+		} else if name != t.own {
+			reached = true
+		}
+		if name != t.own {
+			others++
 		}
 	}
-	return names
+	j.Isolated = !reached && others >= isolatedFrom
+	return j
 }
 
-// Isolated reports whether every other data centre is out of reach. Callers are then
-// better served by other nodes.
-func (t *Tracker) Isolated(now time.Time) bool {
-	others := 0
-	for name := range t.centres {
-		if name == t.own {
-			continue
-		}
-		if !t.Out(now, name) {
-			return false
+// out reports whether the data centre is out of reach, with the attempts that wait
+// beside those that have ended.
+func (c *centre) out(now time.Time, waiting int, replicas map[string]bool) bool {
+	if now.Sub(c.answered) < silentFor || c.attempts+waiting < silentAttempts {
+		return false
+	}
+	distinct := len(c.silent)
+	for replica := range replicas {
+		if !c.silent[replica] {
+			distinct++
 		}
-		others++
 	}
-	return others >= isolatedFrom
+	return distinct >= silentReplicas
 }
--- a/policy/upstream/upstream.go
+++ b/policy/upstream/upstream.go
@@ -265,6 +265,17 @@
 	return st.failures * decay(now.Sub(st.failedAt), forgetFailure)
 }
 
+// Waiting calls f for each attempt that has been out for longer than age.
+func (s *Set) Waiting(now time.Time, age time.Duration, f func(r *registry.Replica)) {
+	for _, st := range s.usable {
+		for _, a := range st.out {
+			if now.Sub(a.sent) > age {
+				f(st.Replica)
+			}
+		}
+	}
+}
+
 // Expected returns the usual latency of a class at this service.
 func (s *Set) Expected(class string) time.Duration {
 	if d, ok := s.expected[class]; ok {
