--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
@@ -15,7 +17,8 @@
 	"github.com/carobmill/carobmill/policy/upstream"
 )
 
-// Forward is a caller's request that is passed on byte for byte.
+// Forward is a caller's request on its way to one replica, byte for byte. It is used
+// once.
 type Forward struct {
 	// Replica that it goes to; its name is the replica's ID.
 	Replica *config.Replica
@@ -30,9 +33,16 @@
 	Body   []byte
 	// Deadline ends the work; the replica is told what is left.
 	Deadline time.Time
-	// Linger says, when ctx has ended, how long the exchange may go on so that its
-	// connection can be kept.
-	Linger func() time.Duration
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// ended is set when nobody waits for the reply any more.
+	ended bool
+	// stop ends the wait for a connection; nil while there is none.
+	stop context.CancelFunc
+	// wire carries the exchange; nil before and after.
+	wire *wire
+	done bool
 }
 
 // ForwardReply is what came of a Forward.
@@ -79,14 +89,14 @@
 // Forward sends a request to a replica on one connection and returns its reply. It
 // never sends it twice: it takes another connection only after proof that nothing was
 // written on the one before.
-func (c *Client) Forward(ctx context.Context, f *Forward, dialect Dialect) ForwardReply {
+func (c *Client) Forward(f *Forward, dialect Dialect) ForwardReply {
 	p := c.pool(f.Replica)
 	for range attemptsOnStale {
-		cn, err := p.acquire(ctx)
-		if err != nil {
-			return ForwardReply{Reason: acquireReason(ctx, err), Evidence: pb.Evidence_EVIDENCE_NOT_RUN}
+		cn, reason := p.acquireFor(f)
+		if cn == nil {
+			return ForwardReply{Reason: reason, Evidence: pb.Evidence_EVIDENCE_NOT_RUN}
 		}
-		reply, stale := p.forward(ctx, cn, f, dialect)
+		reply, stale := p.forward(cn, f, dialect)
 		if !stale {
 			return reply
 		}
@@ -94,6 +104,92 @@
 	return ForwardReply{Reason: pb.Reason_REASON_CONNECTION, Evidence: pb.Evidence_EVIDENCE_NOT_RUN}
 }
 
+// End tells that nobody waits for the reply any more. A wait for a connection ends at
+// once; an exchange may go on for linger, so that its connection can be kept, and is
+// cut after that.
+func (f *Forward) End(linger time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.done {
+		return
+	}
+	f.ended = true
+	switch {
+	case f.stop != nil:
+		f.stop()
+	case f.wire == nil:
+	case linger <= 0:
+		f.wire.kill()
+	default:
+		time.AfterFunc(linger, f.cut)
+	}
+}
+
+// cut ends the exchange that is still under way.
+func (f *Forward) cut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.wire != nil {
+		f.wire.kill()
+	}
+}
+
+// begin takes the connection for the exchange, unless nobody waits any more.
+func (f *Forward) begin(w *wire) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended {
+		return false
+	}
+	f.wire = w
+	return true
+}
+
+// finish gives the connection back, and reports whether anybody waits for the reply.
+func (f *Forward) finish(done bool) (awaited bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wire = nil
+	f.done = done
+	return !f.ended
+}
+
+// waitContext returns the context of a wait for a connection.
+func (f *Forward) waitContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(context.Background(), f.Deadline)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended {
+		cancel()
+	}
+	f.stop = cancel
+	return ctx, func() {
+		f.mu.Lock()
+		f.stop = nil
+		f.mu.Unlock()
+		cancel()
+	}
+}
+
+// acquireFor returns a connection, or nil and the reason why there is none.
+func (p *pool) acquireFor(f *Forward) (*conn, pb.Reason) {
+	p.mu.Lock()
+	if p.limit > 0 && len(p.waiters) == 0 {
+		if cn := p.takeLocked(); cn != nil {
+			p.mu.Unlock()
+			return cn, 0
+		}
+	}
+	p.mu.Unlock()
+	ctx, cancel := f.waitContext()
+	defer cancel()
+	cn, err := p.acquire(ctx)
+	if err != nil {
+		return nil, acquireReason(ctx, err)
+	}
+	return cn, 0
+}
+
 // Reachable reports whether a connection to an address can be opened before ctx ends.
 func (c *Client) Reachable(ctx context.Context, address string) bool {
 	conn, err := c.opts.Dial(ctx, "tcp", address)
@@ -107,35 +203,33 @@
 
 // forward carries one exchange on a connection. stale is set when the connection had
 // been closed before anything was written.
-func (p *pool) forward(ctx context.Context, cn *conn, f *Forward, dialect Dialect) (reply ForwardReply, stale bool) {
-	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	stop := context.AfterFunc(ctx, func() {
-		linger := f.Linger()
-		if linger <= 0 {
-			cancel()
-			return
-		}
-		time.AfterFunc(linger, cancel)
-	})
-	defer stop()
+func (p *pool) forward(cn *conn, f *Forward, dialect Dialect) (reply ForwardReply, stale bool) {
+	if !f.begin(cn.wire) {
+		p.release(cn, true)
+		return ForwardReply{Reason: pb.Reason_REASON_CANCELLED, Evidence: pb.Evidence_EVIDENCE_NOT_RUN}, false
+	}
 	writes := cn.wire.written()
 	sent := time.Now()
-	resp, err := cn.cc.RoundTrip(f.request(inner, p.address, dialect))
+	resp, err := cn.cc.RoundTrip(f.request(p.address, dialect))
 	if err != nil {
-		return p.forwardFailed(ctx, cn, writes, sent)
+		return p.forwardFailed(cn, f, writes, sent)
 	}
 	reply = ForwardReply{Status: resp.StatusCode, Header: resp.Header, Notes: dialect.Notes(resp)}
 	limit := p.client.opts.MaxResultBytes
 	reply.Body, err = readBody(resp, limit+1)
 	_ = resp.Body.Close()
+	awaited := f.finish(true)
 	reply.Took = time.Since(sent)
 	misfit := reply.Notes.RequestID != "" && reply.Notes.RequestID != f.RequestID
 	switch {
 	case err != nil || int64(len(reply.Body)) > limit:
 		p.release(cn, false)
+		reason := pb.Reason_REASON_CONNECTION
+		if !awaited {
+			reason = pb.Reason_REASON_CANCELLED
+		}
 		// The status line alone proves nothing when the reply was cut.
-		return failedForward(pb.Reason_REASON_CONNECTION, reply.Took), false
+		return failedForward(reason, reply.Took), false
 	case misfit:
 		// The connection's requests and replies are out of step.
 		p.client.stats.mismatched.Add(1)
@@ -158,21 +252,22 @@
 }
 
 // forwardFailed judges an exchange without a reply and closes its connection.
-func (p *pool) forwardFailed(ctx context.Context, cn *conn, writes uint64, sent time.Time) (ForwardReply, bool) {
+func (p *pool) forwardFailed(cn *conn, f *Forward, writes uint64, sent time.Time) (ForwardReply, bool) {
+	awaited := f.finish(false)
 	reply := failedForward(pb.Reason_REASON_CONNECTION, time.Since(sent))
 	if cn.wire.seal(writes) {
 		reply.Evidence = pb.Evidence_EVIDENCE_NOT_RUN
 	}
 	silent := !heard(cn, sent)
 	p.release(cn, false)
-	if ctx.Err() != nil {
-		reply.Reason = contextReason(ctx)
-		if silent {
-			p.closeUnheard(sent)
-		}
-		return reply, false
+	if awaited {
+		return reply, reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN
 	}
-	return reply, reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN
+	reply.Reason = pb.Reason_REASON_CANCELLED
+	if silent {
+		p.closeUnheard(sent)
+	}
+	return reply, false
 }
 
 // closeUnheard closes idle connections that were opened before an exchange began that
@@ -222,8 +317,8 @@
 
 // request builds one attempt. The target is passed on as it came: parsing and
 // printing it again could change its escapes.
-func (f *Forward) request(ctx context.Context, address string, dialect Dialect) *http.Request {
-	req := new(http.Request).WithContext(ctx)
+func (f *Forward) request(address string, dialect Dialect) *http.Request {
+	req := new(http.Request)
 	req.Method = f.Method
 	req.URL = &url.URL{Scheme: "http", Host: address, Opaque: f.Target}
 	if strings.HasPrefix(f.Target, authorityPrefix) {
@@ -234,7 +329,7 @@
 	}
 	req.Host = f.Host
 	req.Proto, req.ProtoMajor, req.ProtoMinor = "HTTP/1.1", 1, 1
-	req.Header = f.Header.Clone()
+	req.Header = maps.Clone(f.Header)
 	dialect.Address(req.Header, f.Replica.Name, max(0, time.Until(f.Deadline)))
 	// GetBody stays unset: nothing may replay the request.
 	if len(f.Body) > 0 {
--- a/node/forward/class.go
+++ b/node/forward/class.go
@@ -88,7 +88,7 @@
 const (
 	// ordinaryLines and failureLines are the lines a second of one node. A line
 	// costs about ten microseconds: half a percent of a core at both limits.
-	ordinaryLines = 5
+	ordinaryLines = 1
 	failureLines  = 50
 )
 
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/node/backend"
 	"github.com/carobmill/carobmill/node/directory"
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/config"
 	"github.com/carobmill/carobmill/policy/gather"
 	"github.com/carobmill/carobmill/policy/route"
@@ -48,26 +48,22 @@
 	outOfReach map[string]bool
 	deadline   time.Time
 	parts      []backend.ForwardReply
-	tried      [][]string
-	events     chan event
+	events     *work.Inbox[event]
 	// ran is set once an attempt may have run at a replica.
 	ran bool
 	// last is the newest failure that a replica answered with, if any.
 	last   *backend.ForwardReply
 	story  []step
 	hedged int
-	// gone is set when the caller has left: losers then end at once.
-	gone atomic.Bool
-	// cancels end the attempts of each shard that are out.
-	cancels [][]context.CancelFunc
+	// gone is set when the caller has left.
+	gone bool
 }
 
 // event is the end of an attempt.
 type event struct {
 	shard int
-	hedge bool
 	step  int
-	reply backend.ForwardReply
+	reply *backend.ForwardReply
 }
 
 func newRun(f *Forwarder, view *directory.View, r *route.Route, c *class, req *Request) *run {
@@ -96,10 +92,8 @@
 	})
 	q.services = make([]*service, n)
 	q.parts = make([]backend.ForwardReply, n)
-	q.tried = make([][]string, n)
-	q.cancels = make([][]context.CancelFunc, n)
-	// Room for every attempt, so that none waits for a run that has ended.
-	q.events = make(chan event, n*(attempts+maxElsewhere))
+	q.story = make([]step, 0, n+2)
+	q.events = work.NewInbox[event](n)
 	return q
 }
 
@@ -111,9 +105,7 @@
 
 // serve carries the request to its answer.
 func (q *run) serve(ctx context.Context) Answer {
-	// Attempts outlive ctx by lingerFor at most; what ends them says whether they may.
-	attempts, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
-	defer cancel()
+	defer q.endAll()
 	now := time.Now()
 	for i, name := range q.names {
 		s := q.f.service(name)
@@ -121,35 +113,53 @@
 		s.mu.Lock()
 		s.budget.Request(now)
 		s.mu.Unlock()
-		if !q.send(attempts, i, false) {
+		if !q.send(i, false) {
 			q.query.GiveUp(i)
 		}
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var events []event
 	for {
-		next := q.hedges(attempts)
+		next := q.hedges()
 		verdict, look := q.query.Judge(q.since())
 		if verdict != gather.Wait {
 			return q.finish(verdict)
 		}
 		timer.Reset(max(min(next, look)-q.since(), 0))
 		select {
-		case e := <-q.events:
-			q.take(attempts, e)
+		case <-q.events.Ready():
+			events = q.events.Take(events)
+			for _, e := range events {
+				q.take(e)
+			}
 		case <-timer.C:
 		case <-ctx.Done():
-			q.gone.Store(true)
+			q.gone = true
 			return q.finish(gather.Late)
 		}
 	}
 }
 
+// endAll ends the attempts that are still out. When the caller has left, or the
+// deadline has passed, their replicas are freed at once.
+func (q *run) endAll() {
+	linger := lingerFor
+	if q.gone || time.Now().After(q.deadline) {
+		linger = 0
+	}
+	for i := range q.story {
+		if !q.story[i].ended {
+			q.story[i].call.End(linger)
+		}
+	}
+}
+
 // hedges sends the hedges that are due and returns when the next one is.
-func (q *run) hedges(ctx context.Context) time.Duration {
+func (q *run) hedges() time.Duration {
 	after := q.class.hedgeAfter(q.route.Objective)
 	return q.query.Hedges(q.since(), after, func(i int) {
-		if !q.send(ctx, i, true) {
+		if !q.send(i, true) {
 			q.query.GiveUp(i)
 			return
 		}
@@ -159,10 +169,10 @@
 
 // send sends an attempt for a shard and reports whether it could. Every attempt but a
 // shard's first comes out of the service's budget for extra requests.
-func (q *run) send(ctx context.Context, i int, hedge bool) bool {
+func (q *run) send(i int, hedge bool) bool {
 	s := q.services[i]
 	now := time.Now()
-	extra := len(q.tried[i]) > 0
+	extra := q.attempts(i) > 0
 	nodes := q.f.opts.Source.Nodes()
 	s.mu.Lock()
 	st := s.set.Pick(now, q.pickFor(i, hedge, nodes))
@@ -176,26 +186,45 @@
 	handle := s.set.Sent(now, st, q.route.Name)
 	replica := *st.Replica
 	s.mu.Unlock()
-	q.tried[i] = append(q.tried[i], replica.ID)
-	q.query.Sent(i, q.since())
-	q.story = append(q.story, step{shard: i, replica: replica.ID, at: q.since(), hedge: hedge})
-	e := event{shard: i, hedge: hedge, step: len(q.story) - 1}
-	attempt, cancel := context.WithCancel(ctx)
-	q.cancels[i] = append(q.cancels[i], cancel)
 	call := q.call(replica.ID, replica.Address)
+	at := q.since()
+	q.query.Sent(i, at)
+	q.story = append(q.story, step{shard: i, replica: replica.ID, at: at, hedge: hedge, call: call})
+	e := event{shard: i, step: len(q.story) - 1}
 	go func() {
-		defer cancel()
-		e.reply = q.f.opts.Backend.Forward(attempt, call, q.f.opts.Dialect)
-		q.settle(s, st, handle, &e.reply)
-		q.f.reach.note(&replica, &e.reply)
-		if !extra && e.reply.Took > 0 {
-			q.class.observe(e.reply.Took)
+		reply := q.f.opts.Backend.Forward(call, q.f.opts.Dialect)
+		q.settle(s, st, handle, &reply)
+		q.f.reach.note(&replica, &reply)
+		if !extra && reply.Took > 0 {
+			q.class.observe(reply.Took)
 		}
-		q.events <- e
+		e.reply = &reply
+		q.events.Put(e)
 	}()
 	return true
 }
 
+// attempts returns how many attempts were sent for a shard.
+func (q *run) attempts(shard int) int {
+	n := 0
+	for i := range q.story {
+		if q.story[i].shard == shard {
+			n++
+		}
+	}
+	return n
+}
+
+// tried reports whether a replica had an attempt for a shard.
+func (q *run) tried(shard int, id string) bool {
+	for i := range q.story {
+		if q.story[i].shard == shard && q.story[i].replica == id {
+			return true
+		}
+	}
+	return false
+}
+
 // mayRepeat takes one request out of the service's budget. s.mu is held.
 func (s *service) mayRepeat(now time.Time, nodes int, hedge bool) bool {
 	if hedge {
@@ -213,16 +242,8 @@
 		Spare:           hedge,
 		OutOfReach:      q.outOfReach,
 	}
-	tried := q.tried[i]
-	if len(tried) > 0 {
-		r.Tried = func(id string) bool {
-			for _, t := range tried {
-				if t == id {
-					return true
-				}
-			}
-			return false
-		}
+	if q.attempts(i) > 0 {
+		r.Tried = func(id string) bool { return q.tried(i, id) }
 	}
 	spec := q.view.Index.Service(q.names[i])
 	r.ConnectionsEach = connectionShare(spec, nodes)
@@ -242,16 +263,7 @@
 		Header:    q.req.Header,
 		Body:      q.req.Body,
 		Deadline:  q.deadline,
-		Linger:    q.linger,
-	}
-}
-
-// linger is how long an attempt that nobody waits for may go on.
-func (q *run) linger() time.Duration {
-	if q.gone.Load() {
-		return 0
 	}
-	return lingerFor
 }
 
 // settle tells the service's tables how an attempt ended.
@@ -300,11 +312,11 @@
 }
 
 // take deals with the end of an attempt.
-func (q *run) take(ctx context.Context, e event) {
-	q.story[e.step].end(q.since(), &e.reply)
-	if q.accepts(&e.reply) {
+func (q *run) take(e event) {
+	q.story[e.step].end(q.since(), e.reply)
+	if q.accepts(e.reply) {
 		if q.query.Answered(e.shard) {
-			q.parts[e.shard] = e.reply
+			q.parts[e.shard] = *e.reply
 			q.endOthers(e.shard)
 		}
 		return
@@ -313,15 +325,15 @@
 		q.ran = true
 	}
 	if e.reply.Status != 0 && !e.reply.Notes.NotRun && !e.reply.Notes.OtherReplica {
-		q.last = &e.reply
+		q.last = e.reply
 	}
 	reached := e.reply.Status != 0 && !e.reply.Notes.OtherReplica || e.reply.Evidence != pb.Evidence_EVIDENCE_NOT_RUN
-	if !reached && len(q.tried[e.shard]) > maxElsewhere {
+	if !reached && q.attempts(e.shard) > maxElsewhere {
 		reached = true
 	}
 	retry := q.query.Failed(e.shard, reached)
 	mayRun := q.route.Idempotent || e.reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN
-	if retry && mayRun && q.send(ctx, e.shard, false) {
+	if retry && mayRun && q.send(e.shard, false) {
 		return
 	}
 	if !mayRun {
@@ -346,10 +358,11 @@
 
 // endOthers ends the attempts of a shard whose part is in.
 func (q *run) endOthers(shard int) {
-	for _, cancel := range q.cancels[shard] {
-		cancel()
+	for i := range q.story {
+		if s := &q.story[i]; s.shard == shard && !s.ended {
+			s.call.End(lingerFor)
+		}
 	}
-	q.cancels[shard] = nil
 }
 
 // finish makes the answer.
--- a/node/forward/story.go
+++ b/node/forward/story.go
@@ -14,6 +14,8 @@
 	replica string
 	at      time.Duration
 	hedge   bool
+	// call is the attempt itself.
+	call    *backend.Forward
 	ended   bool
 	endedAt time.Duration
 	status  int
@@ -78,7 +80,7 @@
 		"took_ms":  ms(took),
 		"limit_ms": ms(q.deadline.Sub(q.req.Arrived)),
 		"missing":  a.Missing,
-		"gone":     q.gone.Load(),
+		"gone":     q.gone,
 		"shards":   len(q.names),
 		"hedges":   q.hedged,
 		"attempts": attempts,
