--- /dev/null
+++ b/policy/gather/gather_test.go
@@ -0,0 +1,168 @@
+package gather_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/carobmill/carobmill/policy/gather"
+	"github.com/carobmill/carobmill/policy/hedge"
+)
+
+const ms = time.Millisecond
+
+func ten() gather.Params {
+	return gather.Params{
+		Shards: 10, MaxAttempts: 2, MinCoverage: 0.89,
+		Objective: 120 * ms, Deadline: 1200 * ms, Idempotent: true,
+	}
+}
+
+// started returns a query with one attempt of each shard out, and all but the last
+// open ones answered.
+func started(p gather.Params, open int) *gather.Query {
+	q := gather.New(p)
+	for i := range p.Shards {
+		q.Sent(i, 0)
+	}
+	for i := range p.Shards - open {
+		q.Answered(i)
+	}
+	return q
+}
+
+// One shard stands still. Until the objective the caller waits for it; then an answer
+// without it is worth more than a whole one that comes late.
+func TestAnswerIsGivenAtTheObjectiveWithTheLeastCoverage(t *testing.T) {
+	c := qt.New(t)
+	q := started(ten(), 1)
+	verdict, look := q.Judge(50 * ms)
+	c.Assert(verdict, qt.Equals, gather.Wait)
+	c.Assert(look, qt.Equals, 120*ms)
+	verdict, _ = q.Judge(120 * ms)
+	c.Assert(verdict, qt.Equals, gather.Success)
+	c.Assert(q.Coverage(), qt.Equals, 0.9)
+}
+
+// Two shards of ten stand still and nine are needed: the caller waits on, and gets the
+// answer with the ninth, or a final one at the deadline.
+func TestBelowTheLeastCoverageTheCallerWaits(t *testing.T) {
+	c := qt.New(t)
+	q := started(ten(), 2)
+	verdict, look := q.Judge(130 * ms)
+	c.Assert(verdict, qt.Equals, gather.Wait)
+	c.Assert(look, qt.Equals, 1200*ms)
+	verdict, _ = q.Judge(1200 * ms)
+	c.Assert(verdict, qt.Equals, gather.Late)
+	q.Answered(8)
+	verdict, _ = q.Judge(200 * ms)
+	c.Assert(verdict, qt.Equals, gather.Success)
+}
+
+// Shards are lost one after the other. The request fails as soon as the least coverage
+// is out of reach, and succeeds as soon as nothing is left to wait for.
+func TestLostShardsEndTheWait(t *testing.T) {
+	c := qt.New(t)
+	q := started(ten(), 1)
+	c.Assert(q.Failed(9, true), qt.IsTrue)
+	q.GiveUp(9)
+	verdict, _ := q.Judge(10 * ms)
+	c.Assert(verdict, qt.Equals, gather.Success, qt.Commentf("nine of ten, and nothing to wait for"))
+
+	q = started(ten(), 2)
+	q.Failed(9, true)
+	q.GiveUp(9)
+	q.Failed(8, true)
+	q.GiveUp(8)
+	verdict, _ = q.Judge(10 * ms)
+	c.Assert(verdict, qt.Equals, gather.Failure)
+}
+
+// A shard is hedged while its first attempt is out; the attempt fails and the hedge
+// answers. The shard must not count as lost.
+func TestHedgeOutlivesTheFirstAttempt(t *testing.T) {
+	c := qt.New(t)
+	q := started(ten(), 1)
+	var hedged []int
+	send := func(i int) {
+		hedged = append(hedged, i)
+		q.Sent(i, 30*ms)
+	}
+	c.Assert(q.Hedges(10*ms, 30*ms, send), qt.Equals, 30*ms)
+	c.Assert(hedged, qt.HasLen, 0)
+	q.Hedges(30*ms, 30*ms, send)
+	c.Assert(hedged, qt.DeepEquals, []int{9})
+	c.Assert(q.Failed(9, true), qt.IsFalse, qt.Commentf("both attempts are used"))
+	q.Settle(9)
+	verdict, _ := q.Judge(40 * ms)
+	c.Assert(verdict, qt.Equals, gather.Wait)
+	c.Assert(q.Answered(9), qt.IsTrue)
+	verdict, _ = q.Judge(41 * ms)
+	c.Assert(verdict, qt.Equals, gather.Success)
+}
+
+// A request that may run once is never hedged, however long it takes.
+func TestNonIdempotentRequestIsNotHedged(t *testing.T) {
+	c := qt.New(t)
+	p := ten()
+	p.Shards, p.MinCoverage, p.Idempotent = 1, 1, false
+	q := gather.New(p)
+	q.Sent(0, 0)
+	q.Hedges(time.Second, ms, func(int) { c.Fatal("hedged") })
+}
+
+// An attempt that reached no replica does not use up the attempts of its shard.
+func TestAttemptThatReachedNobodyDoesNotCount(t *testing.T) {
+	c := qt.New(t)
+	p := ten()
+	p.MaxAttempts = 1
+	q := gather.New(p)
+	q.Sent(0, 0)
+	c.Assert(q.Failed(0, false), qt.IsTrue)
+	q.Sent(0, ms)
+	c.Assert(q.Failed(0, true), qt.IsFalse)
+}
+
+func TestGreatestMatchesASortOfAllRecords(t *testing.T) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(5, 6))
+	for range 200 {
+		var parts [][]byte
+		var all [][]byte
+		for range 1 + rng.IntN(10) {
+			part := make([]byte, rng.IntN(100))
+			for i := range part {
+				part[i] = byte(rng.IntN(3))
+			}
+			parts = append(parts, part)
+			for i := 0; i+gather.RecordBytes <= len(part); i += gather.RecordBytes {
+				all = append(all, part[i:i+gather.RecordBytes])
+			}
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		n := rng.IntN(12)
+		want := bytes.Join(all[:min(n, len(all))], nil)
+		c.Assert(string(gather.Greatest(parts, n)), qt.Equals, string(want))
+	}
+}
+
+// Hedges follow what attempts usually take, and come early enough to answer inside the
+// objective even where little is known.
+func TestHedgeAfterFollowsRecentLatencies(t *testing.T) {
+	c := qt.New(t)
+	var recent hedge.Quantile
+	c.Assert(gather.HedgeAfter(&recent, 120*ms), qt.Equals, 60*ms)
+	for i := range 1000 {
+		recent.Observe(time.Duration(10+i%10) * ms)
+	}
+	due := gather.HedgeAfter(&recent, 120*ms)
+	c.Assert(due >= 19*ms && due <= 23*ms, qt.IsTrue, qt.Commentf("%v", due))
+	for range 1000 {
+		recent.Observe(500 * ms)
+	}
+	c.Assert(gather.HedgeAfter(&recent, 120*ms), qt.Equals, 60*ms)
+}
--- /dev/null
+++ b/policy/registry/registry_test.go
@@ -0,0 +1,69 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/carobmill/carobmill/policy/registry"
+)
+
+var now = time.Unix(1000, 0)
+
+func replica(id string, incarnation int64) registry.Replica {
+	return registry.Replica{ID: id, Incarnation: incarnation, Service: "timing", DataCentre: "a"}
+}
+
+func count(t *registry.Table, out ...string) int {
+	left := make(map[string]bool)
+	for _, name := range out {
+		left[name] = true
+	}
+	return len(t.Usable(left)["timing"])
+}
+
+// News arrives out of order, since pages are read while a watch goes on: what is older
+// than what is known changes nothing, neither an entry nor its end.
+func TestOlderNewsChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	table := registry.NewTable()
+	c.Assert(table.Put(replica("r1", 1), 5), qt.IsTrue)
+	draining := replica("r1", 1)
+	draining.Draining = true
+	c.Assert(table.Put(draining, 9), qt.IsTrue)
+	c.Assert(table.Put(replica("r1", 1), 7), qt.IsFalse)
+	c.Assert(count(table), qt.Equals, 0)
+	c.Assert(table.Put(replica("r1", 0), 10), qt.IsFalse, qt.Commentf("an earlier incarnation"))
+	c.Assert(table.Put(replica("r1", 2), 11), qt.IsTrue)
+	c.Assert(table.Remove(now, "r1", 10, false), qt.IsFalse)
+	c.Assert(count(table), qt.Equals, 1)
+	c.Assert(table.Remove(now, "r1", 12, false), qt.IsTrue)
+	c.Assert(table.Put(replica("r1", 2), 11), qt.IsFalse)
+	c.Assert(count(table), qt.Equals, 0)
+}
+
+func TestDataCentreThatIsOutHasNoUsableReplica(t *testing.T) {
+	c := qt.New(t)
+	table := registry.NewTable()
+	table.Put(replica("r1", 1), 5)
+	c.Assert(count(table, "a"), qt.Equals, 0)
+	c.Assert(count(table, "b"), qt.Equals, 1)
+}
+
+// An entry vanishes around an outage of the store. It stays usable for the grace, a
+// return ends the doubt, and the end of the grace is told once, by Expire alone.
+func TestVanishedReplicaExpires(t *testing.T) {
+	c := qt.New(t)
+	table := registry.NewTable()
+	table.Put(replica("r1", 1), 5)
+	c.Assert(table.Remove(now, "r1", 6, true), qt.IsFalse)
+	c.Assert(table.NextExpiry(), qt.Equals, now.Add(registry.VanishedGrace))
+	c.Assert(table.Expire(now.Add(time.Second)), qt.IsFalse)
+	table.Put(replica("r1", 1), 7)
+	c.Assert(table.NextExpiry().IsZero(), qt.IsTrue)
+	table.Remove(now, "r1", 8, true)
+	c.Assert(count(table), qt.Equals, 1)
+	c.Assert(table.Expire(now.Add(registry.VanishedGrace)), qt.IsTrue)
+	c.Assert(count(table), qt.Equals, 0)
+}
--- /dev/null
+++ b/policy/route/route_test.go
@@ -0,0 +1,61 @@
+package route_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/carobmill/carobmill/policy/route"
+)
+
+func TestLongestPrefixOfTheHostMatches(t *testing.T) {
+	c := qt.New(t)
+	x := route.NewIndex(&route.Configuration{Version: 3, Routes: []route.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}})
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"A.Example:8080", "/x/1", "short"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"c.example", "/x/1", ""},
+	} {
+		r := x.Match(test.host, test.path)
+		name := ""
+		if r != nil {
+			name = r.Name
+		}
+		c.Check(name, qt.Equals, test.want, qt.Commentf("%s%s", test.host, test.path))
+	}
+}
+
+// Operators look at shares over some hundred requests, of all nodes together: each
+// node with few of them must be near its weights all the time.
+func TestSplitterIsNeverFarFromItsWeights(t *testing.T) {
+	c := qt.New(t)
+	parts := []route.Weighted{{Service: "a", Weight: 70}, {Service: "b", Weight: 25}, {Service: "c", Weight: 5}}
+	for _, seed := range []float64{0, 0.3, 0.9} {
+		s := route.NewSplitter(parts, seed)
+		counts := make([]float64, len(parts))
+		for n := 1.0; n <= 300; n++ {
+			counts[s.Next(parts)]++
+			for i, p := range parts {
+				off := counts[i] - n*p.Weight/100
+				c.Assert(off > -2 && off < 2, qt.IsTrue, qt.Commentf("part %d is off by %.1f after %.0f", i, off, n))
+			}
+		}
+	}
+}
+
+func TestSplitterLeavesOutPartsWithoutWeight(t *testing.T) {
+	c := qt.New(t)
+	parts := []route.Weighted{{Service: "a"}, {Service: "b", Weight: 1}}
+	s := route.NewSplitter(parts, 0.5)
+	for range 10 {
+		c.Assert(s.Next(parts), qt.Equals, 1)
+	}
+}
