--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -22,7 +22,7 @@
 	watchSlack  = 600 * time.Millisecond
 	// pace is the least time between two watch calls: the changes of a busy moment
 	// come in one answer, and each call has its price.
-	pace = 200 * time.Millisecond
+	pace = 500 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call; it is jittered
 	// so that the nodes do not return all at once.
 	minBackoff = 100 * time.Millisecond
