--- a/policy/upstream/upstream.go
+++ b/policy/upstream/upstream.go
@@ -40,7 +40,7 @@
 	// awayCost is added for a replica in another data centre: bytes between data
 	// centres are priced and the way is a little longer. Small, so that it decides
 	// only between replicas that are otherwise alike.
-	awayCost = 1.0
+	awayCost = 2.0
 	// jitter spreads the choices of many nodes that see the same.
 	jitter = 0.25
 	// coldCost is how much slower a replica is expected to be while it is cold.
