--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -113,10 +114,19 @@
 		s.mu.Lock()
 		s.budget.Request(now)
 		s.mu.Unlock()
-		if !q.send(i, false) {
+		if !q.reserve(i, false) {
 			q.query.GiveUp(i)
 		}
 	}
+	if verdict, _ := q.query.Judge(q.since()); verdict == gather.Failure {
+		// Too few shards can take the request: it is refused before any of them works
+		// for it, so that those that are well are kept for requests that can succeed.
+		q.undo()
+		return q.finish(verdict)
+	}
+	for i := range q.story {
+		q.launch(i)
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var events []event
@@ -167,15 +177,25 @@
 	})
 }
 
-// send sends an attempt for a shard and reports whether it could. Every attempt but a
-// shard's first comes out of the service's budget for extra requests.
+// send sends an attempt for a shard and reports whether it could.
 func (q *run) send(i int, hedge bool) bool {
+	if !q.reserve(i, hedge) {
+		return false
+	}
+	q.launch(len(q.story) - 1)
+	return true
+}
+
+// reserve chooses a replica for an attempt, which launch sends. Every attempt but a
+// shard's first comes out of the service's budget for extra requests.
+func (q *run) reserve(i int, hedge bool) bool {
 	s := q.services[i]
 	now := time.Now()
 	extra := q.attempts(i) > 0
 	nodes := q.f.opts.Source.Nodes()
+	request := q.pickFor(i, hedge, nodes)
 	s.mu.Lock()
-	st := s.set.Pick(now, q.pickFor(i, hedge, nodes))
+	st := s.set.Pick(now, request)
 	if st != nil && extra && !s.mayRepeat(now, nodes, hedge) {
 		st = nil
 	}
@@ -183,25 +203,43 @@
 		s.mu.Unlock()
 		return false
 	}
-	handle := s.set.Sent(now, st, q.route.Name)
-	replica := *st.Replica
+	handle := s.set.Sent(now, st, request)
+	replica := st.Replica
 	s.mu.Unlock()
-	call := q.call(replica.ID, replica.Address)
 	at := q.since()
 	q.query.Sent(i, at)
-	q.story = append(q.story, step{shard: i, replica: replica.ID, at: at, hedge: hedge, call: call})
-	e := event{shard: i, step: len(q.story) - 1}
+	q.story = append(q.story, step{
+		shard: i, replica: replica, at: at, hedge: hedge, extra: extra,
+		state: st, handle: handle, call: q.call(replica.ID, replica.Address),
+	})
+	return true
+}
+
+// launch sends a reserved attempt.
+func (q *run) launch(number int) {
+	at := q.story[number]
+	s := q.services[at.shard]
 	go func() {
-		reply := q.f.opts.Backend.Forward(call, q.f.opts.Dialect)
-		q.settle(s, st, handle, &reply)
-		q.f.reach.note(&replica, &reply)
-		if !extra && reply.Took > 0 {
+		reply := q.f.opts.Backend.Forward(at.call, q.f.opts.Dialect)
+		q.settle(s, at.state, at.handle, &reply)
+		q.f.reach.note(at.replica, &reply)
+		if !at.extra && reply.Took > 0 {
 			q.class.observe(reply.Took)
 		}
-		e.reply = &reply
-		q.events.Put(e)
+		q.events.Put(event{shard: at.shard, step: number, reply: &reply})
 	}()
-	return true
+}
+
+// undo takes back the attempts that were reserved and not launched.
+func (q *run) undo() {
+	for i := range q.story {
+		at := &q.story[i]
+		s := q.services[at.shard]
+		s.mu.Lock()
+		s.set.Unsent(at.state, at.handle)
+		s.mu.Unlock()
+	}
+	q.story = nil
 }
 
 // attempts returns how many attempts were sent for a shard.
@@ -218,7 +256,7 @@
 // tried reports whether a replica had an attempt for a shard.
 func (q *run) tried(shard int, id string) bool {
 	for i := range q.story {
-		if q.story[i].shard == shard && q.story[i].replica == id {
+		if q.story[i].shard == shard && q.story[i].replica.ID == id {
 			return true
 		}
 	}
@@ -274,6 +312,8 @@
 		Took:   reply.Took,
 		Result: resultOf(reply),
 		Load:   reply.Notes.Load,
+
+		Objective: q.route.Objective - objectiveMargin,
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -427,7 +467,7 @@
 )
 
 // retryAfter tells a caller whose request has not run when to come back: after a few
-// requests' time at the slowest of its services.
+// requests' time at the slowest of its services, and not all at the same moment.
 func (q *run) retryAfter() time.Duration {
 	wait := minRetryAfter
 	for _, s := range q.services {
@@ -438,5 +478,5 @@
 		wait = max(wait, 2*s.set.Expected(q.route.Name))
 		s.mu.Unlock()
 	}
-	return min(wait, maxRetryAfter)
+	return min(wait+rand.N(wait), maxRetryAfter)
 }
--- a/node/forward/story.go
+++ b/node/forward/story.go
@@ -6,14 +6,21 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/carobmill/carobmill/node/backend"
+	"github.com/carobmill/carobmill/policy/registry"
+	"github.com/carobmill/carobmill/policy/upstream"
 )
 
 // step is one attempt of a request, for its log line.
 type step struct {
 	shard   int
-	replica string
+	replica *registry.Replica
 	at      time.Duration
 	hedge   bool
+	// extra is set for all attempts of a shard but its first.
+	extra bool
+	// state and handle are the replica's entry in its service's tables.
+	state  *upstream.State
+	handle uint64
 	// call is the attempt itself.
 	call    *backend.Forward
 	ended   bool
@@ -65,7 +72,7 @@
 			continue
 		}
 		attempts = append(attempts, attemptLine{
-			Service: q.names[s.shard], Replica: s.replica, At: ms(s.at), End: ms(s.endedAt),
+			Service: q.names[s.shard], Replica: s.replica.ID, At: ms(s.at), End: ms(s.endedAt),
 			Hedge: s.hedge, Status: s.status, Why: s.why,
 		})
 	}
--- a/policy/upstream/upstream.go
+++ b/policy/upstream/upstream.go
@@ -102,6 +102,7 @@
 	loadAt time.Time
 	out    []attempt
 	cold   bucket
+	pace   pace
 }
 
 // attempt is a request that is out at a replica.
@@ -171,6 +172,21 @@
 	Spare bool
 }
 
+// bears reports whether the replica may get one more request now. A request that need
+// not be sent goes to none that is cold, paced or at a standstill.
+func (st *State) bears(now time.Time, q Request) bool {
+	if len(st.out) >= q.ConnectionsEach || !st.pace.open(now) {
+		return false
+	}
+	if q.Spare && (st.pace.perSecond > 0 || st.stalled(now)) {
+		return false
+	}
+	if q.ColdPerSecond < 0 || !st.isCold(now) {
+		return true
+	}
+	return !q.Spare && st.cold.has(now, q.ColdPerSecond)
+}
+
 // Pick returns the replica expected to answer first, or nil when none may be used.
 // Replicas that rest after failures come last: one of them is tried when no other is
 // left, since a request that may fail is better than one that is given up.
@@ -182,7 +198,7 @@
 		if st.gone || q.OutOfReach[st.Replica.DataCentre] || q.Tried != nil && q.Tried(st.Replica.ID) {
 			continue
 		}
-		if len(st.out) >= q.ConnectionsEach || !st.bears(now, q) {
+		if !st.bears(now, q) {
 			continue
 		}
 		if now.Before(st.pauseUntil) {
@@ -192,9 +208,6 @@
 			continue
 		}
 		cost := s.cost(now, st, q)
-		if q.Spare && st.stalled(now) {
-			continue
-		}
 		if best == nil || cost < bestCost {
 			best, bestCost = st, cost
 		}
@@ -202,20 +215,9 @@
 	if best == nil {
 		best = resting
 	}
-	if best != nil && best.isCold(now) && q.ColdPerSecond >= 0 {
-		best.cold.take(now, q.ColdPerSecond)
-	}
 	return best
 }
 
-// bears reports whether a cold replica's rate leaves room.
-func (st *State) bears(now time.Time, q Request) bool {
-	if q.ColdPerSecond < 0 || !st.isCold(now) {
-		return true
-	}
-	return !q.Spare && st.cold.has(now, q.ColdPerSecond)
-}
-
 func (st *State) isCold(now time.Time) bool {
 	return now.Before(st.Replica.ColdUntil)
 }
@@ -284,31 +286,49 @@
 	return defaultExpected
 }
 
-// Sent counts a request that goes to the replica and returns its handle for Done.
-func (s *Set) Sent(now time.Time, st *State, class string) uint64 {
+// Sent counts a request that goes to the picked replica and returns its handle for
+// Done or Unsent.
+func (s *Set) Sent(now time.Time, st *State, q Request) uint64 {
 	s.nextID++
-	st.out = append(st.out, attempt{id: s.nextID, sent: now, expected: s.Expected(class)})
+	st.out = append(st.out, attempt{id: s.nextID, sent: now, expected: s.Expected(q.Class)})
+	st.pace.sent(now)
+	if st.isCold(now) && q.ColdPerSecond >= 0 {
+		st.cold.take(now, q.ColdPerSecond)
+	}
 	return s.nextID
 }
 
+// Unsent takes a request back that was not sent after all.
+func (s *Set) Unsent(st *State, handle uint64) {
+	st.remove(handle)
+	st.pace.unsent()
+}
+
+// remove forgets an attempt that is out.
+func (st *State) remove(handle uint64) {
+	for i, a := range st.out {
+		if a.id == handle {
+			st.out = append(st.out[:i], st.out[i+1:]...)
+			return
+		}
+	}
+}
+
 // Sample is the end of an attempt.
 type Sample struct {
 	Handle uint64
 	Class  string
 	Took   time.Duration
 	Result Result
+	// Objective of the class; an answer that takes longer is of little use.
+	Objective time.Duration
 	// Load is set when the replica told it.
 	Load *Load
 }
 
 // Done takes the end of an attempt.
 func (s *Set) Done(now time.Time, st *State, sample Sample) {
-	for i, a := range st.out {
-		if a.id == sample.Handle {
-			st.out = append(st.out[:i], st.out[i+1:]...)
-			break
-		}
-	}
+	st.remove(sample.Handle)
 	if sample.Load != nil {
 		st.load, st.loadAt = *sample.Load, now
 	}
@@ -320,6 +340,7 @@
 		st.pauseUntil = time.Time{}
 	case Refused:
 		st.failed(now, 1)
+		st.pace.tooLate(now)
 	case Failed, Broken:
 		// A replica that loses some of its answers still gives the others: it is
 		// avoided by its failure rate, and rests only when nothing else comes.
@@ -332,8 +353,12 @@
 		st.gone = true
 	case Abandoned:
 		// The answer took at least this long; a shorter wait tells nothing.
-		if sample.Took > time.Duration(stalledAfter*float64(s.Expected(sample.Class))) {
-			st.slow(now, float64(sample.Took)/float64(s.Expected(sample.Class)))
+		expected := s.Expected(sample.Class)
+		if sample.Took > time.Duration(stalledAfter*float64(expected)) {
+			st.slow(now, float64(sample.Took)/float64(expected))
+		}
+		if sample.Took > sample.Objective {
+			st.pace.tooLate(now)
 		}
 	}
 }
@@ -361,6 +386,7 @@
 	}
 	ratio := float64(sample.Took) / float64(max(expected, minExpected))
 	st.slow(now, ratio)
+	st.pace.answered(now, ratio, objectivePart*float64(sample.Objective)/float64(max(expected, minExpected)), sample.Load)
 	if !st.isCold(now) {
 		bounded := min(sample.Took, 3*expected)
 		s.expected[sample.Class] = expected + time.Duration(expectedWeight*float64(bounded-expected))
--- a/policy/upstream/upstream_test.go
+++ b/policy/upstream/upstream_test.go
@@ -11,7 +11,10 @@
 	"github.com/carobmill/carobmill/policy/upstream"
 )
 
-const class = "standings"
+const (
+	class     = "standings"
+	objective = 100 * time.Millisecond
+)
 
 // fleet returns a set of n replicas r0, r1 and so on, and its clock.
 func fleet(n int) (*upstream.Set, []*registry.Replica, time.Time) {
@@ -34,8 +37,8 @@
 	if st == nil {
 		return ""
 	}
-	handle := set.Sent(now, st, class)
-	set.Done(now.Add(took), st, upstream.Sample{Handle: handle, Class: class, Took: took, Result: result})
+	handle := set.Sent(now, st, q)
+	set.Done(now.Add(took), st, upstream.Sample{Handle: handle, Class: class, Took: took, Result: result, Objective: objective})
 	return st.Replica.ID
 }
 
@@ -79,8 +82,8 @@
 			took = 8 * usual
 			slow++
 		}
-		handle := set.Sent(now, st, class)
-		set.Done(now.Add(took), st, upstream.Sample{Handle: handle, Class: class, Took: took, Result: upstream.Answered})
+		handle := set.Sent(now, st, request())
+		set.Done(now.Add(took), st, upstream.Sample{Handle: handle, Class: class, Took: took, Result: upstream.Answered, Objective: objective})
 	}
 	c.Assert(slow <= 8, qt.IsTrue, qt.Commentf("%d of 160 requests went to the slow replica", slow))
 	c.Assert(slow >= 1, qt.IsTrue)
@@ -96,7 +99,7 @@
 		serve(set, now, request(), 15*time.Millisecond, upstream.Answered)
 	}
 	stuck := set.Pick(now, request())
-	set.Sent(now, stuck, class)
+	set.Sent(now, stuck, request())
 	now = now.Add(100 * time.Millisecond)
 	for range 50 {
 		c.Assert(serve(set, now, request(), 15*time.Millisecond, upstream.Answered), qt.Not(qt.Equals), stuck.Replica.ID)
@@ -149,7 +152,7 @@
 	for range 500 {
 		now = now.Add(20 * time.Millisecond)
 		st := set.Pick(now, request())
-		sample := upstream.Sample{Handle: set.Sent(now, st, class), Class: class, Took: 15 * time.Millisecond}
+		sample := upstream.Sample{Handle: set.Sent(now, st, request()), Class: class, Took: 15 * time.Millisecond, Objective: objective}
 		if st.Replica.ID == "r2" {
 			sample.Result, sample.Took = upstream.Refused, time.Millisecond
 			refused++
