--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -312,8 +312,6 @@
 		Took:   reply.Took,
 		Result: resultOf(reply),
 		Load:   reply.Notes.Load,
-
-		Objective: q.route.Objective - objectiveMargin,
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -224,6 +224,11 @@
 		_ = callers.Close()
 		return errors.Wrap(err, "listener of operators")
 	}
+	return g.RunOn(ctx, callers, operators)
+}
+
+// RunOn is Run on ports that are open already. It closes them.
+func (g *Gateway) RunOn(ctx context.Context, callers, operators net.Listener) error {
 	g.log.WithFields(logrus.Fields{
 		"callers": callers.Addr().String(), "data_centre": g.settings.GetDataCentre(), "boot": g.boot,
 	}).Info("start")
@@ -238,6 +243,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- g.adminServer.Serve(operators) }()
 	go func() { failed <- g.callerServer.Serve(callers) }()
+	var err error
 	select {
 	case <-ctx.Done():
 		g.shutdown()
--- a/policy/upstream/upstream.go
+++ b/policy/upstream/upstream.go
@@ -102,7 +102,6 @@
 	loadAt time.Time
 	out    []attempt
 	cold   bucket
-	pace   pace
 }
 
 // attempt is a request that is out at a replica.
@@ -173,12 +172,12 @@
 }
 
 // bears reports whether the replica may get one more request now. A request that need
-// not be sent goes to none that is cold, paced or at a standstill.
+// not be sent goes to none that is cold or at a standstill.
 func (st *State) bears(now time.Time, q Request) bool {
-	if len(st.out) >= q.ConnectionsEach || !st.pace.open(now) {
+	if len(st.out) >= q.ConnectionsEach {
 		return false
 	}
-	if q.Spare && (st.pace.perSecond > 0 || st.stalled(now)) {
+	if q.Spare && st.stalled(now) {
 		return false
 	}
 	if q.ColdPerSecond < 0 || !st.isCold(now) {
@@ -291,7 +290,6 @@
 func (s *Set) Sent(now time.Time, st *State, q Request) uint64 {
 	s.nextID++
 	st.out = append(st.out, attempt{id: s.nextID, sent: now, expected: s.Expected(q.Class)})
-	st.pace.sent(now)
 	if st.isCold(now) && q.ColdPerSecond >= 0 {
 		st.cold.take(now, q.ColdPerSecond)
 	}
@@ -301,7 +299,6 @@
 // Unsent takes a request back that was not sent after all.
 func (s *Set) Unsent(st *State, handle uint64) {
 	st.remove(handle)
-	st.pace.unsent()
 }
 
 // remove forgets an attempt that is out.
@@ -320,8 +317,6 @@
 	Class  string
 	Took   time.Duration
 	Result Result
-	// Objective of the class; an answer that takes longer is of little use.
-	Objective time.Duration
 	// Load is set when the replica told it.
 	Load *Load
 }
@@ -340,7 +335,6 @@
 		st.pauseUntil = time.Time{}
 	case Refused:
 		st.failed(now, 1)
-		st.pace.tooLate(now)
 	case Failed, Broken:
 		// A replica that loses some of its answers still gives the others: it is
 		// avoided by its failure rate, and rests only when nothing else comes.
@@ -357,9 +351,6 @@
 		if sample.Took > time.Duration(stalledAfter*float64(expected)) {
 			st.slow(now, float64(sample.Took)/float64(expected))
 		}
-		if sample.Took > sample.Objective {
-			st.pace.tooLate(now)
-		}
 	}
 }
 
@@ -386,7 +377,6 @@
 	}
 	ratio := float64(sample.Took) / float64(max(expected, minExpected))
 	st.slow(now, ratio)
-	st.pace.answered(now, ratio, objectivePart*float64(sample.Objective)/float64(max(expected, minExpected)), sample.Load)
 	if !st.isCold(now) {
 		bounded := min(sample.Took, 3*expected)
 		s.expected[sample.Class] = expected + time.Duration(expectedWeight*float64(bounded-expected))
--- a/policy/upstream/upstream_test.go
+++ b/policy/upstream/upstream_test.go
@@ -11,10 +11,7 @@
 	"github.com/carobmill/carobmill/policy/upstream"
 )
 
-const (
-	class     = "standings"
-	objective = 100 * time.Millisecond
-)
+const class = "standings"
 
 // fleet returns a set of n replicas r0, r1 and so on, and its clock.
 func fleet(n int) (*upstream.Set, []*registry.Replica, time.Time) {
@@ -38,7 +35,7 @@
 		return ""
 	}
 	handle := set.Sent(now, st, q)
-	set.Done(now.Add(took), st, upstream.Sample{Handle: handle, Class: class, Took: took, Result: result, Objective: objective})
+	set.Done(now.Add(took), st, upstream.Sample{Handle: handle, Class: class, Took: took, Result: result})
 	return st.Replica.ID
 }
 
@@ -83,7 +80,7 @@
 			slow++
 		}
 		handle := set.Sent(now, st, request())
-		set.Done(now.Add(took), st, upstream.Sample{Handle: handle, Class: class, Took: took, Result: upstream.Answered, Objective: objective})
+		set.Done(now.Add(took), st, upstream.Sample{Handle: handle, Class: class, Took: took, Result: upstream.Answered})
 	}
 	c.Assert(slow <= 8, qt.IsTrue, qt.Commentf("%d of 160 requests went to the slow replica", slow))
 	c.Assert(slow >= 1, qt.IsTrue)
@@ -152,7 +149,7 @@
 	for range 500 {
 		now = now.Add(20 * time.Millisecond)
 		st := set.Pick(now, request())
-		sample := upstream.Sample{Handle: set.Sent(now, st, request()), Class: class, Took: 15 * time.Millisecond, Objective: objective}
+		sample := upstream.Sample{Handle: set.Sent(now, st, request()), Class: class, Took: 15 * time.Millisecond}
 		if st.Replica.ID == "r2" {
 			sample.Result, sample.Took = upstream.Refused, time.Millisecond
 			refused++
