--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -53,9 +53,11 @@
 	// ran is set once an attempt may have run at a replica.
 	ran bool
 	// last is the newest failure that a replica answered with, if any.
-	last   *backend.ForwardReply
-	story  []step
-	hedged int
+	last  *backend.ForwardReply
+	story []step
+	// denials are the attempts that could not be sent.
+	denials []denial
+	hedged  int
 	// gone is set when the caller has left.
 	gone bool
 }
@@ -196,11 +198,16 @@
 	request := q.pickFor(i, hedge, nodes)
 	s.mu.Lock()
 	st := s.set.Pick(now, request)
-	if st != nil && extra && !s.mayRepeat(now, nodes, hedge) {
-		st = nil
+	denied := ""
+	switch {
+	case st == nil:
+		denied = deniedNoReplica
+	case extra && !s.mayRepeat(now, nodes, hedge):
+		denied = deniedNoBudget
 	}
-	if st == nil {
+	if denied != "" {
 		s.mu.Unlock()
+		q.denials = append(q.denials, denial{shard: i, at: q.since(), why: denied, hedge: hedge})
 		return false
 	}
 	handle := s.set.Sent(now, st, request)
--- a/node/forward/story.go
+++ b/node/forward/story.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,6 +48,39 @@
 	}
 }
 
+// denial is an attempt that could not be sent, for the request's log line.
+type denial struct {
+	shard int
+	at    time.Duration
+	why   string
+	hedge bool
+}
+
+// Reasons of denials.
+const (
+	// deniedNoReplica: every usable replica was tried, is out of reach, has all its
+	// connections in use, or bears no more.
+	deniedNoReplica = "no replica"
+	// deniedNoBudget: the service's budget for extra requests is spent.
+	deniedNoBudget = "no budget"
+)
+
+// denialLine is a denial in a log line.
+type denialLine struct {
+	Service string  `json:"service"`
+	At      float64 `json:"at_ms"`
+	Why     string  `json:"why"`
+	Hedge   bool    `json:"hedge,omitempty"`
+}
+
+func (q *run) denialLines() []denialLine {
+	lines := make([]denialLine, 0, len(q.denials))
+	for _, d := range q.denials {
+		lines = append(lines, denialLine{Service: q.names[d.shard], At: ms(d.at), Why: d.why, Hedge: d.hedge})
+	}
+	return lines
+}
+
 // attemptLine is a step in a log line. Times are milliseconds after the arrival.
 type attemptLine struct {
 	Service string  `json:"service"`
@@ -91,6 +127,10 @@
 		"shards":   len(q.names),
 		"hedges":   q.hedged,
 		"attempts": attempts,
+		"denied":   q.denialLines(),
+		"most":     q.route.MaxAttempts,
+		"repeat":   q.route.Idempotent,
+		"out":      strings.Join(slices.Sorted(maps.Keys(q.outOfReach)), ","),
 	}).Info("request")
 }
 
