--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -116,7 +116,7 @@
 		s.mu.Lock()
 		s.budget.Request(now)
 		s.mu.Unlock()
-		if !q.reserve(i, kindNeeded) {
+		if !q.reserve(i, false) {
 			q.query.GiveUp(i)
 		}
 	}
@@ -170,34 +170,18 @@
 // hedges sends the hedges that are due and returns when the next one is.
 func (q *run) hedges() time.Duration {
 	after := q.class.hedgeAfter(q.route.Objective)
-	return q.query.Hedges(q.since(), after, func(i int, urgent bool) bool {
-		kind := kindHedge
-		if urgent {
-			kind = kindUrgentHedge
-		}
-		if !q.send(i, kind) {
-			return false
+	return q.query.Hedges(q.since(), after, func(i int) {
+		if !q.send(i, true) {
+			q.query.GiveUp(i)
+			return
 		}
 		q.hedged++
-		return true
 	})
 }
 
-// kind is why an attempt is sent.
-type kind int
-
-const (
-	// kindNeeded: the first attempt of a shard, or one after a failure.
-	kindNeeded kind = iota
-	// kindHedge: another attempt is out and may still answer.
-	kindHedge
-	// kindUrgentHedge: another attempt is out and hardly answers in time.
-	kindUrgentHedge
-)
-
 // send sends an attempt for a shard and reports whether it could.
-func (q *run) send(i int, k kind) bool {
-	if !q.reserve(i, k) {
+func (q *run) send(i int, hedge bool) bool {
+	if !q.reserve(i, hedge) {
 		return false
 	}
 	q.launch(len(q.story) - 1)
@@ -206,24 +190,24 @@
 
 // reserve chooses a replica for an attempt, which launch sends. Every attempt but a
 // shard's first comes out of the service's budget for extra requests.
-func (q *run) reserve(i int, k kind) bool {
+func (q *run) reserve(i int, hedge bool) bool {
 	s := q.services[i]
 	now := time.Now()
 	extra := q.attempts(i) > 0
 	nodes := q.f.opts.Source.Nodes()
-	request := q.pickFor(i, k, nodes)
+	request := q.pickFor(i, hedge, nodes)
 	s.mu.Lock()
 	st := s.set.Pick(now, request)
 	denied := ""
 	switch {
 	case st == nil:
 		denied = deniedNoReplica
-	case extra && !s.mayRepeat(now, nodes, k):
+	case extra && !s.mayRepeat(now, nodes, hedge):
 		denied = deniedNoBudget
 	}
 	if denied != "" {
 		s.mu.Unlock()
-		q.denials = append(q.denials, denial{shard: i, at: q.since(), why: denied, hedge: k != kindNeeded})
+		q.denials = append(q.denials, denial{shard: i, at: q.since(), why: denied, hedge: hedge})
 		return false
 	}
 	handle := s.set.Sent(now, st, request)
@@ -232,7 +216,7 @@
 	at := q.since()
 	q.query.Sent(i, at)
 	q.story = append(q.story, step{
-		shard: i, replica: replica, at: at, hedge: k != kindNeeded, extra: extra,
+		shard: i, replica: replica, at: at, hedge: hedge, extra: extra,
 		state: st, handle: handle, call: q.call(replica.ID, replica.Address),
 	})
 	return true
@@ -287,20 +271,20 @@
 }
 
 // mayRepeat takes one request out of the service's budget. s.mu is held.
-func (s *service) mayRepeat(now time.Time, nodes int, k kind) bool {
-	if k == kindHedge {
+func (s *service) mayRepeat(now time.Time, nodes int, hedge bool) bool {
+	if hedge {
 		return s.budget.TakeSpare(now, nodes)
 	}
 	return s.budget.Take(now, nodes)
 }
 
-func (q *run) pickFor(i int, k kind, nodes int) upstream.Request {
+func (q *run) pickFor(i int, hedge bool, nodes int) upstream.Request {
 	r := upstream.Request{
 		Class:           q.route.Name,
 		DataCentre:      q.f.opts.DataCentre,
 		ConnectionsEach: assumedConnections,
 		ColdPerSecond:   -1,
-		Spare:           k != kindNeeded,
+		Spare:           hedge,
 		OutOfReach:      q.outOfReach,
 	}
 	if q.attempts(i) > 0 {
@@ -394,7 +378,7 @@
 	}
 	retry := q.query.Failed(e.shard, reached)
 	mayRun := q.route.Idempotent || e.reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN
-	if retry && mayRun && q.send(e.shard, kindNeeded) {
+	if retry && mayRun && q.send(e.shard, false) {
 		return
 	}
 	if !mayRun {
--- a/policy/gather/gather.go
+++ b/policy/gather/gather.go
@@ -41,8 +41,6 @@
 	attempts int
 	out      int
 	lastSent time.Duration
-	// refused is when a hedge was last refused; 0 when none was since lastSent.
-	refused  time.Duration
 	answered bool
 	// lost shards have no attempt out and none left.
 	lost bool
@@ -68,7 +66,7 @@
 	s := &q.shards[i]
 	s.attempts++
 	s.out++
-	s.lastSent, s.refused = at, 0
+	s.lastSent = at
 }
 
 // Answered takes a shard's part, and reports whether it is the first.
@@ -163,15 +161,10 @@
 	return Wait, q.params.Deadline
 }
 
-// urgentAfter is the multiple of the usual wait for a hedge from which one is sent as if
-// the attempt had failed: the shard may then be lost without it.
-const urgentAfter = 3
-
 // Hedges calls send for each shard whose attempt is due for a hedge: it has been out
-// for after, and another may be sent. send reports whether it could; if not, the hedge
-// is due again after the same time. A hedge that is urgent makes an answer exist rather
-// than faster. Hedges returns when the next one is due, or the deadline.
-func (q *Query) Hedges(now, after time.Duration, send func(i int, urgent bool) bool) time.Duration {
+// for after, and another may be sent. It returns when the next one is due, or the
+// deadline.
+func (q *Query) Hedges(now, after time.Duration, send func(i int)) time.Duration {
 	next := q.params.Deadline
 	if !q.params.Idempotent {
 		return next
@@ -181,15 +174,12 @@
 		if s.answered || s.lost || s.denied || s.out == 0 || s.attempts >= q.params.MaxAttempts {
 			continue
 		}
-		due := max(s.lastSent, s.refused) + after
-		if now < due {
-			next = min(next, due)
+		due := s.lastSent + after
+		if now >= due {
+			send(i)
 			continue
 		}
-		if !send(i, now >= s.lastSent+urgentAfter*after) {
-			s.refused = now
-			next = min(next, now+after)
-		}
+		next = min(next, due)
 	}
 	return next
 }
--- a/policy/gather/gather_test.go
+++ b/policy/gather/gather_test.go
@@ -88,10 +88,9 @@
 	c := qt.New(t)
 	q := started(ten(), 1)
 	var hedged []int
-	send := func(i int, _ bool) bool {
+	send := func(i int) {
 		hedged = append(hedged, i)
 		q.Sent(i, 30*ms)
-		return true
 	}
 	c.Assert(q.Hedges(10*ms, 30*ms, send), qt.Equals, 30*ms)
 	c.Assert(hedged, qt.HasLen, 0)
@@ -113,28 +112,7 @@
 	p.Shards, p.MinCoverage, p.Idempotent = 1, 1, false
 	q := gather.New(p)
 	q.Sent(0, 0)
-	q.Hedges(time.Second, ms, func(int, bool) bool {
-		c.Fatal("hedged")
-		return true
-	})
-}
-
-// Many replicas are slow, and the budget for hedges is spent when one is due. The shard
-// must be tried again when there is budget, in the end as urgently as a retry: given up
-// at the first refusal, it kept its query waiting until the deadline.
-func TestRefusedHedgeIsDueAgain(t *testing.T) {
-	c := qt.New(t)
-	q := started(ten(), 1)
-	var urgent []bool
-	refuse := func(_ int, u bool) bool {
-		urgent = append(urgent, u)
-		return false
-	}
-	c.Assert(q.Hedges(30*ms, 30*ms, refuse), qt.Equals, 60*ms)
-	c.Assert(q.Hedges(45*ms, 30*ms, refuse), qt.Equals, 60*ms)
-	q.Hedges(60*ms, 30*ms, refuse)
-	q.Hedges(90*ms, 30*ms, refuse)
-	c.Assert(urgent, qt.DeepEquals, []bool{false, false, true})
+	q.Hedges(time.Second, ms, func(int) { c.Fatal("hedged") })
 }
 
 // An attempt that reached no replica does not use up the attempts of its shard.
