Take only answers that repeat the request's ID

Cause: an answer without an ID was taken for the request that is out, and with it a refusal that belonged to an earlier one. On the platform every answer repeats the ID.

--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -220,7 +220,9 @@
 	_ = resp.Body.Close()
 	awaited := f.finish(true)
 	reply.Took = time.Since(sent)
-	misfit := reply.Notes.RequestID != "" && reply.Notes.RequestID != f.RequestID
+	// A late second answer to an earlier request would be taken for this one's, a
+	// refusal among them for a true "not run"; so one without an ID fits nothing.
+	misfit := reply.Notes.RequestID != f.RequestID
 	switch {
 	case err != nil || int64(len(reply.Body)) > limit:
 		p.release(cn, false)
