--- /dev/null
+++ b/node/forward/attempt.go
@@ -0,0 +1,242 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/backend"
+	"github.com/carobmill/carobmill/policy/config"
+	"github.com/carobmill/carobmill/policy/upstream"
+)
+
+// send sends an attempt for a shard and reports whether it could.
+func (q *run) send(i int, hedge bool) bool {
+	if !q.reserve(i, hedge) {
+		return false
+	}
+	q.launch(len(q.story) - 1)
+	return true
+}
+
+// reserve chooses a replica for an attempt, which launch sends. Every attempt but a
+// shard's first comes out of the service's budget for extra requests.
+func (q *run) reserve(i int, hedge bool) bool {
+	s := q.services[i]
+	now := time.Now()
+	extra := q.attempts(i) > 0
+	nodes := q.f.opts.Source.Nodes()
+	request := q.pickFor(i, hedge, nodes)
+	s.mu.Lock()
+	st := s.set.Pick(now, request)
+	denied := ""
+	switch {
+	case st == nil:
+		denied = deniedNoReplica
+	case extra && !s.mayRepeat(now, nodes, hedge):
+		denied = deniedNoBudget
+	}
+	if denied != "" {
+		s.mu.Unlock()
+		q.denials = append(q.denials, denial{shard: i, at: q.since(), why: denied, hedge: hedge})
+		return false
+	}
+	handle := s.set.Sent(now, st, request)
+	replica := st.Replica
+	s.mu.Unlock()
+	at := q.since()
+	q.query.Sent(i, at)
+	q.story = append(q.story, step{
+		shard: i, replica: replica, at: at, hedge: hedge, extra: extra,
+		state: st, handle: handle, call: q.call(replica.ID, replica.Address),
+	})
+	return true
+}
+
+// launch sends a reserved attempt.
+func (q *run) launch(number int) {
+	at := q.story[number]
+	s := q.services[at.shard]
+	go func() {
+		reply := q.f.opts.Backend.Forward(at.call, q.f.opts.Dialect)
+		q.settle(s, at.state, at.handle, &reply)
+		q.f.reach.note(at.replica, &reply)
+		if !at.extra && reply.Took > 0 {
+			q.class.observe(reply.Took)
+		}
+		q.events.Put(event{shard: at.shard, step: number, reply: &reply})
+	}()
+}
+
+// undo takes back the attempts that were reserved and not launched.
+func (q *run) undo() {
+	for i := range q.story {
+		at := &q.story[i]
+		s := q.services[at.shard]
+		s.mu.Lock()
+		s.set.Unsent(at.state, at.handle)
+		s.mu.Unlock()
+	}
+	q.story = nil
+}
+
+// attempts returns how many attempts were sent for a shard.
+func (q *run) attempts(shard int) int {
+	n := 0
+	for i := range q.story {
+		if q.story[i].shard == shard {
+			n++
+		}
+	}
+	return n
+}
+
+// tried reports whether a replica had an attempt for a shard.
+func (q *run) tried(shard int, id string) bool {
+	for i := range q.story {
+		if q.story[i].shard == shard && q.story[i].replica.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRepeat takes one request out of the service's budget. s.mu is held.
+func (s *service) mayRepeat(now time.Time, nodes int, hedge bool) bool {
+	if hedge {
+		return s.budget.TakeSpare(now, nodes)
+	}
+	return s.budget.Take(now, nodes)
+}
+
+func (q *run) pickFor(i int, hedge bool, nodes int) upstream.Request {
+	r := upstream.Request{
+		Class:           q.route.Name,
+		DataCentre:      q.f.opts.DataCentre,
+		ConnectionsEach: assumedConnections,
+		ColdPerSecond:   -1,
+		Spare:           hedge,
+		OutOfReach:      q.outOfReach,
+	}
+	if q.attempts(i) > 0 {
+		r.Tried = func(id string) bool { return q.tried(i, id) }
+	}
+	spec := q.view.Index.Service(q.names[i])
+	r.ConnectionsEach = connectionShare(spec, nodes)
+	if spec != nil && spec.ColdPerSecond > 0 {
+		r.ColdPerSecond = spec.ColdPerSecond / float64(nodes+1)
+	}
+	return r
+}
+
+func (q *run) call(id, address string) *backend.Forward {
+	return &backend.Forward{
+		Replica:   &config.Replica{Name: id, Address: address},
+		RequestID: q.req.ID,
+		Method:    q.req.Method,
+		Target:    q.req.Target,
+		Host:      q.req.Host,
+		Header:    q.req.Header,
+		Body:      q.req.Body,
+		Deadline:  q.deadline,
+	}
+}
+
+// settle tells the service's tables how an attempt ended.
+func (q *run) settle(s *service, st *upstream.State, handle uint64, reply *backend.ForwardReply) {
+	sample := upstream.Sample{
+		Handle: handle,
+		Class:  q.route.Name,
+		Took:   reply.Took,
+		Result: resultOf(reply),
+		Load:   reply.Notes.Load,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set.Done(time.Now(), st, sample)
+}
+
+// resultOf classifies a reply for the choice of replicas.
+func resultOf(reply *backend.ForwardReply) upstream.Result {
+	switch {
+	case reply.Notes.OtherReplica:
+		return upstream.Elsewhere
+	case reply.Notes.NotRun:
+		return upstream.Refused
+	case good(reply):
+		return upstream.Answered
+	case reply.Status != 0 && reply.Status < http.StatusInternalServerError:
+		// The replica's own word about the request, such as 404.
+		return upstream.Answered
+	case reply.Status != 0 || reply.Reason == pb.Reason_REASON_MISMATCH:
+		return upstream.Failed
+	case reply.Reason == pb.Reason_REASON_CANCELLED || reply.Reason == pb.Reason_REASON_DEADLINE:
+		return upstream.Abandoned
+	case reply.Reason == pb.Reason_REASON_LIMIT:
+		return upstream.Abandoned
+	}
+	if reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN {
+		return upstream.Unreachable
+	}
+	return upstream.Broken
+}
+
+// good reports whether a reply is a complete and genuine success.
+func good(reply *backend.ForwardReply) bool {
+	return reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices &&
+		reply.Notes.Signature != "" && reply.Header.Get("Content-Encoding") == "" && !reply.Notes.NotRun
+}
+
+// take deals with the end of an attempt.
+func (q *run) take(e event) {
+	q.story[e.step].end(q.since(), e.reply)
+	if q.accepts(e.reply) {
+		if q.query.Answered(e.shard) {
+			q.parts[e.shard] = *e.reply
+			q.endOthers(e.shard)
+		}
+		return
+	}
+	if e.reply.Evidence != pb.Evidence_EVIDENCE_NOT_RUN {
+		q.ran = true
+	}
+	if e.reply.Status != 0 && !e.reply.Notes.NotRun && !e.reply.Notes.OtherReplica {
+		q.last = e.reply
+	}
+	reached := e.reply.Status != 0 && !e.reply.Notes.OtherReplica || e.reply.Evidence != pb.Evidence_EVIDENCE_NOT_RUN
+	if !reached && q.attempts(e.shard) > maxElsewhere {
+		reached = true
+	}
+	retry := q.query.Failed(e.shard, reached)
+	mayRun := q.route.Idempotent || e.reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN
+	if retry && mayRun && q.send(e.shard, false) {
+		return
+	}
+	if !mayRun {
+		q.query.GiveUp(e.shard)
+		return
+	}
+	q.query.Settle(e.shard)
+}
+
+// accepts reports whether a reply is the answer of its shard. Without shards to merge,
+// a replica's word about the request itself, such as 404, is its answer too.
+func (q *run) accepts(reply *backend.ForwardReply) bool {
+	if good(reply) {
+		return true
+	}
+	if q.route.Gathers() || reply.Notes.NotRun || reply.Notes.OtherReplica {
+		return false
+	}
+	return reply.Status >= http.StatusMultipleChoices && reply.Status < http.StatusInternalServerError &&
+		reply.Status != http.StatusTooManyRequests && reply.Status != http.StatusRequestTimeout
+}
+
+// endOthers ends the attempts of a shard whose part is in.
+func (q *run) endOthers(shard int) {
+	for i := range q.story {
+		if s := &q.story[i]; s.shard == shard && !s.ended {
+			s.call.End(lingerFor)
+		}
+	}
+}
--- a/policy/registry/registry_test.go
+++ b/policy/registry/registry_test.go
@@ -11,8 +11,8 @@
 
 var now = time.Unix(1000, 0)
 
-func replica(id string, incarnation int64) registry.Replica {
-	return registry.Replica{ID: id, Incarnation: incarnation, Service: "timing", DataCentre: "a"}
+func replica(incarnation int64) registry.Replica {
+	return registry.Replica{ID: "r1", Incarnation: incarnation, Service: "timing", DataCentre: "a"}
 }
 
 func count(t *registry.Table, out ...string) int {
@@ -28,25 +28,25 @@
 func TestOlderNewsChangesNothing(t *testing.T) {
 	c := qt.New(t)
 	table := registry.NewTable()
-	c.Assert(table.Put(replica("r1", 1), 5), qt.IsTrue)
-	draining := replica("r1", 1)
+	c.Assert(table.Put(replica(1), 5), qt.IsTrue)
+	draining := replica(1)
 	draining.Draining = true
 	c.Assert(table.Put(draining, 9), qt.IsTrue)
-	c.Assert(table.Put(replica("r1", 1), 7), qt.IsFalse)
+	c.Assert(table.Put(replica(1), 7), qt.IsFalse)
 	c.Assert(count(table), qt.Equals, 0)
-	c.Assert(table.Put(replica("r1", 0), 10), qt.IsFalse, qt.Commentf("an earlier incarnation"))
-	c.Assert(table.Put(replica("r1", 2), 11), qt.IsTrue)
+	c.Assert(table.Put(replica(0), 10), qt.IsFalse, qt.Commentf("an earlier incarnation"))
+	c.Assert(table.Put(replica(2), 11), qt.IsTrue)
 	c.Assert(table.Remove(now, "r1", 10, false), qt.IsFalse)
 	c.Assert(count(table), qt.Equals, 1)
 	c.Assert(table.Remove(now, "r1", 12, false), qt.IsTrue)
-	c.Assert(table.Put(replica("r1", 2), 11), qt.IsFalse)
+	c.Assert(table.Put(replica(2), 11), qt.IsFalse)
 	c.Assert(count(table), qt.Equals, 0)
 }
 
 func TestDataCentreThatIsOutHasNoUsableReplica(t *testing.T) {
 	c := qt.New(t)
 	table := registry.NewTable()
-	table.Put(replica("r1", 1), 5)
+	table.Put(replica(1), 5)
 	c.Assert(count(table, "a"), qt.Equals, 0)
 	c.Assert(count(table, "b"), qt.Equals, 1)
 }
@@ -56,11 +56,11 @@
 func TestVanishedReplicaExpires(t *testing.T) {
 	c := qt.New(t)
 	table := registry.NewTable()
-	table.Put(replica("r1", 1), 5)
+	table.Put(replica(1), 5)
 	c.Assert(table.Remove(now, "r1", 6, true), qt.IsFalse)
 	c.Assert(table.NextExpiry(), qt.Equals, now.Add(registry.VanishedGrace))
 	c.Assert(table.Expire(now.Add(time.Second)), qt.IsFalse)
-	table.Put(replica("r1", 1), 7)
+	table.Put(replica(1), 7)
 	c.Assert(table.NextExpiry().IsZero(), qt.IsTrue)
 	table.Remove(now, "r1", 8, true)
 	c.Assert(count(table), qt.Equals, 1)
