--- a/cmd/carobmillctl/explain.go
+++ b/cmd/carobmillctl/explain.go
@@ -16,18 +16,27 @@
 const explainTimeout = 10 * time.Second
 
 var explainCommand = command{
-	name:    "explain",
-	form:    "-node ADDR [-subject NAME] [-o text|json]",
-	summary: "Show a node's latest decisions, oldest first: replicas turned cold, versions applied, requests refused.",
-	run:     runExplain,
+	name: "explain",
+	form: "-node ADDR [-subject NAME] [-o text|json] | -request ID -logs FILE[,FILE...] [-o text|json]",
+	summary: "Show a node's latest decisions, oldest first: replicas turned cold, versions applied, requests refused.\n" +
+		"Or what the logs of nodes say of a request, and what its nodes believed before.",
+	run: runExplain,
 }
 
 func runExplain(ctx context.Context, inv *invocation) int {
 	node := inv.flags.String("node", "", "admin address (`ADDR`, IP number and port) of a node (required)")
 	subject := inv.flags.String("subject", "", "only decisions about this replica, member, version or service (`NAME`)")
+	request := inv.flags.String("request", "", "a request's `ID`, to be looked up in -logs")
+	logs := inv.flags.String("logs", "", "log `FILE`s of nodes, separated by commas; - is standard input")
 	if code, ok := inv.parse(); !ok {
 		return code
 	}
+	if *request != "" || *logs != "" {
+		if *request == "" || *logs == "" {
+			return inv.usageError("flags -request and -logs belong together")
+		}
+		return explainRequest(inv, *request, *logs)
+	}
 	if _, err := netip.ParseAddrPort(*node); err != nil {
 		return inv.usageError("flag -node: %q is not an IP number and a port", *node)
 	}
