--- a/policy/gather/gather_test.go
+++ b/policy/gather/gather_test.go
@@ -166,3 +166,20 @@
 	}
 	c.Assert(gather.HedgeAfter(&recent, 120*ms), qt.Equals, 60*ms)
 }
+
+// The merge of a query over ten shards: 25 records each, the 20 greatest wanted.
+func BenchmarkGreatest(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var parts [][]byte
+	for range 10 {
+		part := make([]byte, 400)
+		for i := range part {
+			part[i] = byte(rng.Uint32())
+		}
+		parts = append(parts, part)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		gather.Greatest(parts, 20)
+	}
+}
