Drop tables of routes that are gone, and hold no lock over another

Cause, from reading: Update held Forwarder.mu over each service's lock, against what the comment says, and the latencies of every route ever asked for (1.6 KB each) were kept through storms of configurations.

--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -149,43 +150,55 @@
 }
 
 // Update takes a new view: connections to replicas that are gone are closed once they
-// are idle, and tables of services that are gone are dropped.
+// are idle, and tables of services and routes that are gone are dropped.
 func (f *Forwarder) Update(v *directory.View) {
 	f.reach.keep(v)
 	nodes := f.opts.Source.Nodes()
 	known := make(map[string]bool)
 	for name, replicas := range v.Replicas {
-		s := f.service(name)
 		limit := connectionShare(v.Index.Service(name), nodes)
-		s.mu.Lock()
-		previous := s.replicas
-		s.replicas = replicas
-		s.set.Keep(replicas)
-		s.mu.Unlock()
 		for _, r := range replicas {
 			known[r.ID] = true
 			f.opts.Backend.SetConnections(r.ID, limit)
 		}
-		f.forget(previous, known)
+		f.forget(f.service(name).keep(replicas), known)
 	}
+	for name, s := range f.drop(v) {
+		if len(v.Replicas[name]) == 0 {
+			f.forget(s.keep(nil), known)
+		}
+	}
+}
+
+// drop forgets services and routes that are in the configuration no more, and returns
+// all services that were known.
+func (f *Forwarder) drop(v *directory.View) map[string]*service {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for name, s := range f.services {
-		if len(v.Replicas[name]) > 0 {
-			continue
-		}
-		s.mu.Lock()
-		previous := s.replicas
-		s.replicas = nil
-		s.set.Keep(nil)
-		s.mu.Unlock()
-		f.forget(previous, known)
-		if v.Index.Service(name) == nil {
+	before := maps.Clone(f.services)
+	for name := range f.services {
+		if len(v.Replicas[name]) == 0 && v.Index.Service(name) == nil {
 			delete(f.services, name)
 		}
 	}
+	for name := range f.classes {
+		if !v.Index.HasRoute(name) {
+			delete(f.classes, name)
+		}
+	}
+	return before
+}
+
+// keep replaces the usable replicas and returns those before.
+func (s *service) keep(replicas []*registry.Replica) (before []*registry.Replica) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, s.replicas = s.replicas, replicas
+	s.set.Keep(replicas)
+	return before
 }
 
+// forget drops the connections to replicas that are not known any more.
 func (f *Forwarder) forget(previous []*registry.Replica, known map[string]bool) {
 	for _, r := range previous {
 		if !known[r.ID] {
--- a/policy/route/route.go
+++ b/policy/route/route.go
@@ -84,6 +84,7 @@
 	Version  uint64
 	Limits   Limits
 	hosts    map[string][]*Route
+	names    map[string]bool
 	services map[string]*Service
 }
 
@@ -93,12 +94,14 @@
 		Version:  c.Version,
 		Limits:   c.Limits,
 		hosts:    make(map[string][]*Route),
+		names:    make(map[string]bool, len(c.Routes)),
 		services: make(map[string]*Service, len(c.Services)),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := normalHost(r.Host)
 		x.hosts[host] = append(x.hosts[host], r)
+		x.names[r.Name] = true
 	}
 	for _, routes := range x.hosts {
 		// Longest prefix first: the first one that begins a path is the match.
@@ -120,6 +123,9 @@
 	return nil
 }
 
+// HasRoute reports whether a route of that name exists.
+func (x *Index) HasRoute(name string) bool { return x.names[name] }
+
 // Service returns a service by name, or nil.
 func (x *Index) Service(name string) *Service { return x.services[name] }
 
