Count coordinators that know no configuration yet as connected

Coordinators called themselves unavailable, so that 79 nodes followed the store and registered. Change: heartbeats tell apart "has not read the store" and "read it, no configuration".

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -53,12 +53,12 @@
 	fleet atomic.Pointer[coordinator.Fleet]
 	// following is open while the node follows the store and is registered.
 	following *gate
+	synced    atomic.Bool
 	// hurry is signalled to end the pause between two watches.
 	hurry chan struct{}
 
 	// The rest belongs to the goroutine of Run.
 	state        *state
-	synced       bool
 	lastSuccess  time.Time
 	failing      bool
 	doubtfulTill time.Time
@@ -95,6 +95,10 @@
 // Following reports whether the node follows the store.
 func (d *Directory) Following() bool { return d.following.isOpen() }
 
+// Synced reports whether the store was read since the node follows it. There may be no
+// configuration in it yet.
+func (d *Directory) Synced() bool { return d.synced.Load() }
+
 // Hurry asks the store at once instead of pausing between two watches, for a node that
 // has heard of a newer version.
 func (d *Directory) Hurry() {
@@ -138,7 +142,7 @@
 			continue
 		}
 		var err error
-		if d.synced {
+		if d.synced.Load() {
 			err = d.watch(ctx)
 		} else {
 			err = d.read(ctx)
@@ -155,7 +159,7 @@
 // rest waits until the store is to be followed again. What is known by then is old, so
 // that it is read anew before anything is published.
 func (d *Directory) rest(ctx context.Context) {
-	d.synced = false
+	d.synced.Store(false)
 	d.failing = false
 	d.view.Store(nil)
 	d.following.wait(ctx, true)
@@ -198,7 +202,7 @@
 	// Pages are no snapshot: the watch goes on from the first of them, and what it
 	// tells again is older or the same.
 	d.state.revision = max(d.state.revision, first)
-	d.synced = true
+	d.synced.Store(true)
 	d.opts.Log.WithFields(logrus.Fields{
 		"revision": first, "replicas": d.state.replicas.Len(), "took_ms": time.Since(began).Milliseconds(),
 	}).Info("read the store")
@@ -232,7 +236,7 @@
 	page, err := d.changes(ctx)
 	if errors.Is(err, ErrCompacted) {
 		d.opts.Log.WithField("revision", d.state.revision).Info("the store dropped its history: reading anew")
-		d.synced = false
+		d.synced.Store(false)
 		return nil
 	}
 	if err != nil {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -220,7 +220,7 @@
 	if g.stopping.Load() {
 		return false, "shutting down"
 	}
-	if g.relay.Connected() {
+	if g.relay.Ready() {
 		return true, ""
 	}
 	if g.directory.View() == nil {
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -35,6 +35,9 @@
 	// connectedWithin is the age of an answered heartbeat up to which this node counts
 	// as connected to a coordinator.
 	connectedWithin = 3 * time.Second
+	// followAfter is how long it has to be connected to none before it follows the
+	// store without a request that needs it.
+	followAfter = time.Second
 	// restAfter is how long it has to be connected before it stops following the store
 	// by itself, so that a coordinator that comes and goes does not make it read the
 	// store over and over.
@@ -99,7 +102,11 @@
 	if resp.GetUnavailable() {
 		r.failed(to, nil, pb.RelayRefusal_RELAY_REFUSAL_UNSPECIFIED)
 	} else {
-		r.reached(to)
+		r.reached(to, resp.GetConfigured())
+	}
+	if !resp.GetConfigured() {
+		// It answers at once then, so that its callers come as soon as it can serve.
+		pause(ctx, lookAgain)
 	}
 	r.keep(decodeFleet(resp))
 }
@@ -119,9 +126,9 @@
 	})
 }
 
-func (r *Relay) reached(to coordinator.Member) {
+func (r *Relay) reached(to coordinator.Member, configured bool) {
 	r.mu.Lock()
-	again := r.table.Reached(time.Now(), to.Node)
+	again := r.table.Reached(time.Now(), to.Node, configured)
 	r.mu.Unlock()
 	if again {
 		r.opts.Log.WithFields(logrus.Fields{"coordinator": to.Node}).Info("a coordinator is in use again")
@@ -131,7 +138,8 @@
 // tend sends heartbeats to coordinators that are out of use, and judges whether this
 // node has to follow the store.
 func (r *Relay) tend(ctx context.Context) {
-	var connectedSince time.Time
+	since := time.Now()
+	connected := false
 	for ctx.Err() == nil {
 		now := time.Now()
 		r.mu.Lock()
@@ -141,7 +149,10 @@
 		if due {
 			r.beat(ctx, to, 0, trialTimeout)
 		}
-		connectedSince = r.judgeRole(now, connectedSince)
+		if c := r.Connected(); c != connected {
+			connected, since = c, now
+		}
+		r.judgeRole(connected, now.Sub(since))
 		if alone {
 			pause(ctx, aloneEvery)
 		} else {
@@ -150,24 +161,29 @@
 	}
 }
 
-// judgeRole makes this node follow the store while it is connected to no coordinator,
-// and rest once it has been for a while. It returns since when it is connected.
-func (r *Relay) judgeRole(now, connectedSince time.Time) time.Time {
+// judgeRole makes this node follow the store once it has been connected to no
+// coordinator for a while, and rest once it has been connected for longer.
+func (r *Relay) judgeRole(connected bool, lasted time.Duration) {
 	switch {
-	case !r.Connected():
+	case !connected && lasted >= followAfter:
 		r.opts.Follow(true)
-		return time.Time{}
-	case connectedSince.IsZero():
-		return now
-	case now.Sub(connectedSince) >= restAfter && !r.opts.Leaving():
+	case connected && lasted >= restAfter && !r.opts.Leaving():
 		r.opts.Follow(false)
 	}
-	return connectedSince
 }
 
 // Connected reports whether a coordinator is in use and has been heard of lately.
 func (r *Relay) Connected() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.Connected(time.Now(), connectedWithin)
+	connected, _ := r.table.Connected(time.Now(), connectedWithin)
+	return connected
+}
+
+// Ready reports whether a coordinator can answer requests of this node's callers.
+func (r *Relay) Ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, configured := r.table.Connected(time.Now(), connectedWithin)
+	return configured
 }
--- a/node/relay/news.go
+++ b/node/relay/news.go
@@ -9,6 +9,7 @@
 // state is what heartbeats tell.
 type state struct {
 	unavailable   bool
+	configured    bool
 	fleetRevision uint64
 }
 
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -32,6 +32,8 @@
 type Follower interface {
 	View() *directory.View
 	Fleet() coordinator.Fleet
+	// Synced reports whether the store was read; there may be no configuration in it.
+	Synced() bool
 	// Hurry asks for news at once.
 	Hurry()
 }
@@ -110,10 +112,12 @@
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait))
 	defer cancel()
 	now := s.state()
-	if !now.unavailable && now.fleetRevision <= m.GetFleetRevision() {
+	if !now.unavailable && now.configured && now.fleetRevision <= m.GetFleetRevision() {
 		now = s.news.await(ctx, now)
 	}
-	resp := &pb.HeartbeatResponse{Unavailable: now.unavailable, FleetRevision: now.fleetRevision}
+	resp := &pb.HeartbeatResponse{
+		Unavailable: now.unavailable, Configured: now.configured, FleetRevision: now.fleetRevision,
+	}
 	if fleet := s.opts.Follower.Fleet(); fleet.Revision > m.GetFleetRevision() {
 		resp.FleetRevision = fleet.Revision
 		resp.Fleet = encodeFleet(fleet)
@@ -124,7 +128,8 @@
 // state is what heartbeats tell.
 func (s *Server) state() state {
 	return state{
-		unavailable:   s.opts.Leaving() || s.opts.Local.Isolated() || s.opts.Follower.View() == nil,
+		unavailable:   s.opts.Leaving() || s.opts.Local.Isolated() || !s.opts.Follower.Synced(),
+		configured:    s.opts.Follower.View() != nil,
 		fleetRevision: s.opts.Follower.Fleet().Revision,
 	}
 }
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -63,7 +63,9 @@
 	// heartbeat has reached it.
 	streak     int
 	pauseUntil time.Time
+	// heard is when a heartbeat was answered last, and configured what it told.
 	heard      time.Time
+	configured bool
 }
 
 // Table is the coordinators that a node may use. Not safe for concurrent use.
@@ -163,15 +165,15 @@
 	}
 }
 
-// Reached notes that a heartbeat was answered, and reports whether the coordinator was
-// out of use until now.
-func (t *Table) Reached(now time.Time, node string) (again bool) {
+// Reached notes that a heartbeat was answered by a coordinator that knows a configuration
+// or none, and reports whether it was out of use until now.
+func (t *Table) Reached(now time.Time, node string, configured bool) (again bool) {
 	p := t.peers[node]
 	if p == nil {
 		return false
 	}
 	again = p.streak > 0
-	p.streak, p.heard = 0, now
+	p.streak, p.heard, p.configured = 0, now, configured
 	return again
 }
 
@@ -190,12 +192,13 @@
 }
 
 // Connected reports whether a coordinator that is in use answered a heartbeat within
-// that time.
-func (t *Table) Connected(now time.Time, within time.Duration) bool {
+// that time, and whether one that did knows a configuration.
+func (t *Table) Connected(now time.Time, within time.Duration) (connected, configured bool) {
 	for _, p := range t.peers {
 		if p.streak == 0 && now.Sub(p.heard) <= within {
-			return true
+			connected = true
+			configured = configured || p.configured
 		}
 	}
-	return false
+	return connected, configured
 }
