Send the first heartbeat without waiting, and prefer coordinators next door

Cause: a first heartbeat waited for news for a second, in which the node took itself for unconnected and followed the store (seen in virtual time). Coordinators' costs spread by 30%, more than another data centre costs, so that requests left their data centre (seen by the test of the choice). Change: the first heartbeat to a coordinator does not wait; the spread is 10%.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -213,7 +213,10 @@
 }
 
 // Closing implements Service.
-func (g *Gateway) Closing() bool { return g.closing.Load() || g.forwarder.Isolated() }
+func (g *Gateway) Closing() bool {
+	cutOff := !g.relay.Ready() && g.forwarder.Isolated()
+	return g.closing.Load() || cutOff
+}
 
 // Ready reports whether the balancer may send callers here, and why not.
 func (g *Gateway) Ready() (bool, string) {
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -52,6 +52,7 @@
 		r.settle(ctx)
 	}
 	go r.tend(ctx)
+	last := ""
 	for ctx.Err() == nil {
 		r.keep(r.opts.Follower.Fleet())
 		to, ok := r.pick(nil)
@@ -59,7 +60,13 @@
 			pause(ctx, aloneEvery)
 			continue
 		}
-		r.beat(ctx, to, heartbeatWait, heartbeatWait+heartbeatSlack)
+		wait := heartbeatWait
+		if to.Node != last {
+			// Whether it answers at all is to be known at once.
+			wait = 0
+		}
+		last = to.Node
+		r.beat(ctx, to, wait, wait+heartbeatSlack)
 	}
 }
 
--- /dev/null
+++ b/node/relay/relay_test.go
@@ -0,0 +1,369 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"github.com/carobmill/carobmill/node/directory"
+	"github.com/carobmill/carobmill/node/forward"
+	"github.com/carobmill/carobmill/node/peer"
+	"github.com/carobmill/carobmill/node/relay"
+	"github.com/carobmill/carobmill/policy/coordinator"
+	"github.com/carobmill/carobmill/policy/route"
+	"github.com/carobmill/carobmill/standin/memnet"
+)
+
+// node is one node of a fleet: what it knows of the store, and what its own forwarder
+// was asked.
+type node struct {
+	member coordinator.Member
+	host   string
+	server *grpc.Server
+	relay  *relay.Relay
+
+	// mu guards the fields below.
+	mu        sync.Mutex
+	version   uint64
+	following bool
+	isolated  bool
+	leaving   bool
+	fleet     coordinator.Fleet
+	hurried   int
+	served    []forward.Request
+	// hold makes requests wait until their sender has gone; released counts those.
+	hold     bool
+	released int
+}
+
+func (n *node) set(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
+func (n *node) View() *directory.View {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.following || n.version == 0 {
+		return nil
+	}
+	return &directory.View{Index: route.NewIndex(&route.Configuration{Version: n.version})}
+}
+
+func (n *node) Fleet() coordinator.Fleet {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.following {
+		return coordinator.Fleet{}
+	}
+	return n.fleet
+}
+
+func (n *node) Synced() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.following
+}
+
+func (n *node) Hurry() { n.set(func() { n.hurried++ }) }
+
+func (n *node) Isolated() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isolated
+}
+
+func (n *node) Leaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
+func (n *node) Follow(on bool) { n.set(func() { n.following = on }) }
+
+// Serve stands in for the forwarder: what may not be repeated is not.
+func (n *node) Serve(ctx context.Context, req *forward.Request) forward.Answer {
+	n.mu.Lock()
+	n.served = append(n.served, *req)
+	hold, version := n.hold, n.version
+	n.mu.Unlock()
+	if hold {
+		<-ctx.Done()
+		n.set(func() { n.released++ })
+		return forward.Answer{Outcome: forward.Late}
+	}
+	if req.Repeat && req.Method == "POST" {
+		return forward.Answer{Outcome: forward.Failed, Version: version}
+	}
+	return forward.Answer{Outcome: forward.Passed, Status: 200, Body: []byte(n.member.Node), Version: version}
+}
+
+func (n *node) count() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.served)
+}
+
+// request returns the i-th request that the node was asked.
+func (n *node) request(i int) forward.Request {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.served[i]
+}
+
+func (n *node) isFollowing() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.following
+}
+
+// world is two coordinators and one small node.
+type world struct {
+	*qt.C
+	network *memnet.Network
+	fleet   coordinator.Fleet
+	big     [2]*node
+	small   *node
+}
+
+// run plays a test in virtual time, after the small node has found the coordinators.
+func run(t *testing.T, test func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{C: qt.New(t), network: memnet.New(time.Millisecond)}
+		ctx, cancel := context.WithCancel(t.Context())
+		for i, name := range []string{"big-1", "big-2"} {
+			w.big[i] = w.start(ctx, name, 0.8, coordinator.Fleet{})
+			w.fleet.Members = append(w.fleet.Members, w.big[i].member)
+		}
+		w.fleet.Revision = 5
+		for _, n := range w.big {
+			n.set(func() { n.fleet = w.fleet })
+		}
+		w.small = w.start(ctx, "small", 0.2, w.fleet)
+		defer func() {
+			cancel()
+			for _, n := range []*node{w.big[0], w.big[1], w.small} {
+				n.server.Stop()
+			}
+			time.Sleep(time.Minute)
+		}()
+		time.Sleep(time.Second)
+		test(w)
+	})
+}
+
+// start starts a node; registered is the fleet that it reads from the store.
+func (w *world) start(ctx context.Context, name string, capacity float64, registered coordinator.Fleet) *node {
+	l, err := w.network.Listen(name, "127.0.0.1:0")
+	w.Assert(err, qt.IsNil)
+	n := &node{
+		host:    name,
+		version: 3,
+		member:  coordinator.Member{Node: name, Address: l.Addr().String(), DataCentre: "a", Capacity: capacity},
+	}
+	n.server = relay.NewServer(relay.ServerOptions{Follower: n, Local: n, Leaving: n.Leaving}, nil)
+	go func() { _ = n.server.Serve(l) }()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	pool := peer.NewPool(nil, w.network.Dialer(name))
+	n.relay = relay.New(relay.Options{
+		Own: n.member, Pool: pool, Follower: n, Follow: n.Follow, Local: n, Leaving: n.Leaving, Log: log,
+		Registered: func(context.Context) (coordinator.Fleet, error) { return registered, nil },
+	})
+	go func() {
+		n.relay.Run(ctx)
+		pool.Close()
+	}()
+	return n
+}
+
+func (w *world) ask(method string) forward.Answer {
+	req := &forward.Request{ID: "q", Method: method, Target: "/x", Arrived: time.Now(), Patience: 5 * time.Second}
+	return w.small.relay.Serve(w.Context(), req)
+}
+
+func (w *world) Context() context.Context { return context.Background() }
+
+// answering is the coordinator that the small node uses, and the other one.
+func (w *world) answering() (used, other *node) {
+	name := string(w.ask("GET").Body)
+	for i, n := range w.big {
+		if n.member.Node == name {
+			return n, w.big[1-i]
+		}
+	}
+	w.Fatalf("%q answered", name)
+	return nil, nil
+}
+
+// A caller comes to a small VM. Its node lets a large one answer and does not follow the
+// store itself: eighty nodes that did made a tenth of all calls to it.
+func TestSmallNodeRelaysAndRests(t *testing.T) {
+	run(t, func(w *world) {
+		used, _ := w.answering()
+		w.Assert(used.count(), qt.Equals, 1)
+		w.Assert(w.small.count(), qt.Equals, 0)
+		w.Assert(w.small.isFollowing(), qt.IsFalse)
+		w.Assert(w.small.relay.Ready(), qt.IsTrue)
+		w.Assert(w.big[0].isFollowing() && w.big[1].isFollowing(), qt.IsTrue)
+		used.relay.Serve(w.Context(), &forward.Request{ID: "q", Arrived: time.Now()})
+		w.Assert(used.count(), qt.Equals, 2, qt.Commentf("a large node answers its own callers"))
+	})
+}
+
+// The coordinator loses power: nothing resets its connections. The caller of the first
+// request waits for the acknowledgement in vain, then gets the other coordinator's
+// answer; that one is told that the request may be running. The next requests go to the
+// other one at once.
+func TestSilentCoordinatorIsLeft(t *testing.T) {
+	run(t, func(w *world) {
+		used, other := w.answering()
+		w.network.Cut(w.small.host, used.host)
+		began := time.Now()
+		a := w.ask("GET")
+		w.Assert(string(a.Body), qt.Equals, other.member.Node)
+		w.Assert(time.Since(began) < 120*time.Millisecond, qt.IsTrue, qt.Commentf("after %s", time.Since(began)))
+		w.Assert(other.request(0).Repeat, qt.IsTrue)
+		began = time.Now()
+		w.ask("GET")
+		w.Assert(time.Since(began) < 10*time.Millisecond, qt.IsTrue)
+		w.Assert(other.request(1).Repeat, qt.IsFalse)
+
+		w.network.Mend(w.small.host, used.host)
+		time.Sleep(5 * time.Second)
+		again, _ := w.answering()
+		w.Assert(again, qt.Equals, used, qt.Commentf("it is used again once a heartbeat has reached it"))
+	})
+}
+
+// The same with a request that may run only once. The silent coordinator may have begun
+// with it, so that the caller is told that nobody knows, and not that it has not run.
+func TestSilentCoordinatorMayHaveBegun(t *testing.T) {
+	run(t, func(w *world) {
+		used, other := w.answering()
+		w.network.Cut(w.small.host, used.host)
+		w.Assert(w.ask("POST").Outcome, qt.Equals, forward.Failed)
+		w.Assert(other.request(0).Repeat, qt.IsTrue)
+	})
+}
+
+// A coordinator's process is killed and nothing listens there: connections are refused,
+// so that the request has run nowhere and goes on as if it were new.
+func TestDeadCoordinatorHasNotBegun(t *testing.T) {
+	run(t, func(w *world) {
+		used, other := w.answering()
+		used.server.Stop()
+		time.Sleep(200 * time.Millisecond)
+		w.Assert(w.ask("POST").Outcome, qt.Equals, forward.Passed)
+		w.Assert(other.request(0).Repeat, qt.IsFalse)
+	})
+}
+
+// A coordinator is cut off after it has acknowledged a request. A heartbeat finds that
+// out, and the request goes to the other one, long before its deadline.
+func TestAcknowledgedRequestOutlivesItsCoordinator(t *testing.T) {
+	run(t, func(w *world) {
+		used, other := w.answering()
+		used.set(func() { used.hold = true })
+		done := make(chan forward.Answer)
+		began := time.Now()
+		go func() { done <- w.ask("GET") }()
+		time.Sleep(50 * time.Millisecond)
+		w.network.Cut(w.small.host, used.host)
+		a := <-done
+		w.Assert(string(a.Body), qt.Equals, other.member.Node)
+		w.Assert(time.Since(began) < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("after %s", time.Since(began)))
+	})
+}
+
+// Both coordinators are gone. The small node follows the store and answers by itself;
+// when they are back it relays again, and rests after a while.
+func TestSmallNodeServesAlone(t *testing.T) {
+	run(t, func(w *world) {
+		w.network.Cut(w.small.host, w.big[0].host)
+		w.network.Cut(w.small.host, w.big[1].host)
+		w.Assert(string(w.ask("GET").Body), qt.Equals, "small")
+		time.Sleep(5 * time.Second)
+		w.Assert(w.small.isFollowing(), qt.IsTrue)
+		w.network.Mend(w.small.host, w.big[0].host)
+		w.network.Mend(w.small.host, w.big[1].host)
+		time.Sleep(5 * time.Second)
+		w.answering()
+		w.Assert(w.small.isFollowing(), qt.IsTrue)
+		time.Sleep(12 * time.Second)
+		w.Assert(w.small.isFollowing(), qt.IsFalse)
+	})
+}
+
+// A caller was answered by a new version of the configuration. Its coordinator leaves,
+// and the other one has not heard of the version yet: it must not answer by the old one.
+// It asks the store at once, and answers as soon as it knows.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	run(t, func(w *world) {
+		used, other := w.answering()
+		used.set(func() { used.version = 4 })
+		w.Assert(w.ask("GET").Version, qt.Equals, uint64(4))
+		used.set(func() { used.leaving = true })
+		time.Sleep(time.Second)
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			other.set(func() { other.version = 4 })
+		}()
+		a := w.ask("GET")
+		w.Assert(string(a.Body), qt.Equals, other.member.Node)
+		w.Assert(a.Version, qt.Equals, uint64(4))
+		other.set(func() { w.Assert(other.hurried > 0, qt.IsTrue) })
+	})
+}
+
+// A coordinator shuts down as planned. Senders hear of it by the heartbeat that waits
+// there and go to the other one; what still comes is answered.
+func TestLeavingCoordinatorIsLeftInTime(t *testing.T) {
+	run(t, func(w *world) {
+		used, other := w.answering()
+		used.set(func() { used.leaving = true })
+		time.Sleep(300 * time.Millisecond)
+		w.Assert(string(w.ask("GET").Body), qt.Equals, other.member.Node)
+		w.Assert(other.request(0).Repeat, qt.IsFalse)
+	})
+}
+
+// A data centre is cut off: its coordinators reach no other one and take no requests. The
+// small nodes there are not ready, so that the balancer sends their callers elsewhere.
+func TestIsolatedCoordinatorsMakeTheirSendersUnready(t *testing.T) {
+	run(t, func(w *world) {
+		for _, n := range w.big {
+			n.set(func() { n.isolated = true })
+		}
+		time.Sleep(2 * time.Second)
+		w.Assert(w.small.relay.Ready(), qt.IsFalse)
+	})
+}
+
+// A caller leaves. The coordinator's work for it ends at once.
+func TestCallerWhoLeavesFreesTheCoordinator(t *testing.T) {
+	run(t, func(w *world) {
+		used, _ := w.answering()
+		used.set(func() { used.hold = true })
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan forward.Answer)
+		go func() {
+			done <- w.small.relay.Serve(ctx, &forward.Request{ID: "q", Arrived: time.Now(), Patience: 5 * time.Second})
+		}()
+		time.Sleep(100 * time.Millisecond)
+		cancel()
+		<-done
+		time.Sleep(10 * time.Millisecond)
+		used.mu.Lock()
+		defer used.mu.Unlock()
+		w.Assert(used.released, qt.Equals, 1)
+	})
+}
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -26,11 +26,14 @@
 	// awayDelay is what a coordinator in another data centre costs in addition: 0.5 ms
 	// each way, in seconds.
 	awayDelay = 0.001
+	// usualAck is the time to an acknowledgement up to which coordinators count as equal,
+	// so that a node stays with the one that it uses.
+	usualAck = 3 * time.Millisecond
 	// ackWeight of a new acknowledgement in a coordinator's expected delay.
 	ackWeight = 0.2
 	// spread keeps nodes from all choosing the same one of equal coordinators, and each
-	// with its own: a share of the cost.
-	spread = 0.3
+	// with its own: a share of the cost, which stays below awayDelay.
+	spread = 0.1
 	// minPause and maxPause bound how long a coordinator that failed is left alone until
 	// it is tried again, by a heartbeat and not by a request.
 	minPause = 200 * time.Millisecond
@@ -127,7 +130,7 @@
 }
 
 func (t *Table) cost(p *peer) float64 {
-	cost := gatherWork/p.member.Capacity + p.ack.Seconds()
+	cost := gatherWork/p.member.Capacity + max(p.ack, usualAck).Seconds()
 	if p.member.DataCentre != t.own.DataCentre {
 		cost += awayDelay
 	}
