Leave coordinators whose news is old, and know those that are cut off

Small nodes, which could reach it, went on relaying to them and answered by a version that was five seconds old. Besides, a coordinator waited 150 ms for a version, longer than its sender did for the acknowledgement, so that senders took it for dead. Change: heartbeats tell whether the store has not answered for a while and whether no other data centre is in reach. Such coordinators come last; a small node whose coordinators all have old news asks the store itself. The wait for a version is 50 ms.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -29,6 +29,9 @@
 	// so that the nodes do not return all at once.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// staleAfter is how long the store may fail to answer before this node says that its
+	// news is old: a lost answer or two are made good within it.
+	staleAfter = 700 * time.Millisecond
 	// outageAfter is the silence of the store from which entries may have lapsed
 	// because their replicas could not renew them, and doubtFor how long after the
 	// store's return a missing entry counts as doubtful.
@@ -54,6 +57,9 @@
 	// following is open while the node follows the store and is registered.
 	following *gate
 	synced    atomic.Bool
+	// unheardSince is the time in Unix nanoseconds of the store's last answer while calls
+	// to it fail; 0 while they do not.
+	unheardSince atomic.Int64
 	// hurry is signalled to end the pause between two watches.
 	hurry chan struct{}
 
@@ -99,6 +105,12 @@
 // configuration in it yet.
 func (d *Directory) Synced() bool { return d.synced.Load() }
 
+// Stale reports whether the store has not answered for so long that news may be missing.
+func (d *Directory) Stale() bool {
+	since := d.unheardSince.Load()
+	return since != 0 && time.Now().UnixNano()-since > int64(staleAfter)
+}
+
 // Hurry asks the store at once instead of pausing between two watches, for a node that
 // has heard of a newer version.
 func (d *Directory) Hurry() {
@@ -161,6 +173,7 @@
 func (d *Directory) rest(ctx context.Context) {
 	d.synced.Store(false)
 	d.failing = false
+	d.unheardSince.Store(0)
 	d.view.Store(nil)
 	d.following.wait(ctx, true)
 	d.lastSuccess = time.Now()
@@ -316,6 +329,7 @@
 		d.opts.Log.WithField("away_ms", away.Milliseconds()).Info("the store answers again")
 	}
 	d.failing = false
+	d.unheardSince.Store(0)
 	d.lastSuccess = now
 	d.backoff = minBackoff
 }
@@ -325,6 +339,9 @@
 	if !d.failing {
 		d.opts.Log.WithError(err).WithField("revision", d.state.revision).Warn("the store does not answer: going on with what is known")
 	}
+	if !d.failing {
+		d.unheardSince.Store(d.lastSuccess.UnixNano())
+	}
 	d.failing = true
 	d.publish(false)
 	sleep(ctx, d.backoff/2+rand.N(d.backoff))
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -20,6 +20,8 @@
 	// settleAfter is how long a smaller node looks for coordinators after its start
 	// before it follows the store by itself: larger VMs register within half a second.
 	settleAfter = 1500 * time.Millisecond
+	// registeredTimeout bounds reading the registered nodes.
+	registeredTimeout = time.Second
 	// lookAgain is how often it looks meanwhile.
 	lookAgain = 400 * time.Millisecond
 	// heartbeatWait is how long a heartbeat waits at the coordinator for news, and
@@ -32,12 +34,12 @@
 	// store; alone, a node without coordinators looks each aloneEvery.
 	tendEvery  = 250 * time.Millisecond
 	aloneEvery = time.Second
-	// connectedWithin is the age of an answered heartbeat up to which this node counts
-	// as connected to a coordinator.
-	connectedWithin = 3 * time.Second
-	// followAfter is how long it has to be connected to none before it follows the
-	// store without a request that needs it.
+	// followAfter is how long it has to be connected to none with new news before it
+	// follows the store without a request that needs it, and probeEvery how often it
+	// asks meanwhile whether the store answers at all. When the store is away from all,
+	// eighty nodes that follow it would be as many more to read it when it is back.
 	followAfter = time.Second
+	probeEvery  = time.Second
 	// restAfter is how long it has to be connected before it stops following the store
 	// by itself, so that a coordinator that comes and goes does not make it read the
 	// store over and over.
@@ -55,7 +57,7 @@
 	last := ""
 	for ctx.Err() == nil {
 		r.keep(r.opts.Follower.Fleet())
-		to, ok := r.pick(nil)
+		to, _, ok := r.pick(nil)
 		if !ok {
 			pause(ctx, aloneEvery)
 			continue
@@ -74,14 +76,8 @@
 func (r *Relay) settle(ctx context.Context) {
 	until := time.Now().Add(settleAfter)
 	for ctx.Err() == nil && time.Now().Before(until) {
-		asking, cancel := context.WithTimeout(ctx, time.Second)
-		fleet, err := r.opts.Registered(asking)
-		cancel()
-		if err != nil {
-			r.opts.Log.WithError(err).Info("the registered nodes cannot be read")
-		}
-		r.keep(fleet)
-		if _, ok := r.pick(nil); ok {
+		r.readRegistered(ctx)
+		if _, _, ok := r.pick(nil); ok {
 			return
 		}
 		pause(ctx, lookAgain/2+rand.N(lookAgain))
@@ -109,7 +105,9 @@
 	if resp.GetUnavailable() {
 		r.failed(to, nil, pb.RelayRefusal_RELAY_REFUSAL_UNSPECIFIED)
 	} else {
-		r.reached(to, resp.GetConfigured())
+		r.reached(to, coordinator.Condition{
+			Configured: resp.GetConfigured(), Stale: resp.GetStale(), Isolated: resp.GetIsolated(),
+		})
 	}
 	if !resp.GetConfigured() {
 		// It answers at once then, so that its callers come as soon as it can serve.
@@ -133,20 +131,19 @@
 	})
 }
 
-func (r *Relay) reached(to coordinator.Member, configured bool) {
+func (r *Relay) reached(to coordinator.Member, c coordinator.Condition) {
 	r.mu.Lock()
-	again := r.table.Reached(time.Now(), to.Node, configured)
+	again := r.table.Reached(time.Now(), to.Node, c)
 	r.mu.Unlock()
 	if again {
 		r.opts.Log.WithFields(logrus.Fields{"coordinator": to.Node}).Info("a coordinator is in use again")
 	}
 }
 
-// tend sends heartbeats to coordinators that are out of use, and judges whether this
+// tend sends heartbeats to coordinators that are not in use, and judges whether this
 // node has to follow the store.
 func (r *Relay) tend(ctx context.Context) {
-	since := time.Now()
-	connected := false
+	role := role{since: time.Now()}
 	for ctx.Err() == nil {
 		now := time.Now()
 		r.mu.Lock()
@@ -156,10 +153,7 @@
 		if due {
 			r.beat(ctx, to, 0, trialTimeout)
 		}
-		if c := r.Connected(); c != connected {
-			connected, since = c, now
-		}
-		r.judgeRole(connected, now.Sub(since))
+		r.judgeRole(ctx, &role)
 		if alone {
 			pause(ctx, aloneEvery)
 		} else {
@@ -168,29 +162,53 @@
 	}
 }
 
+// role is whether this node is connected to a coordinator with new news, since when,
+// and when the store was asked last.
+type role struct {
+	connected bool
+	since     time.Time
+	probed    time.Time
+}
+
 // judgeRole makes this node follow the store once it has been connected to no
-// coordinator for a while, and rest once it has been connected for longer.
-func (r *Relay) judgeRole(connected bool, lasted time.Duration) {
+// coordinator with new news for a while and the store answers, and rest once it has been
+// connected for longer.
+func (r *Relay) judgeRole(ctx context.Context, last *role) {
+	now := time.Now()
+	if c := r.connection().Current; c != last.connected {
+		last.connected, last.since = c, now
+	}
+	lasted := now.Sub(last.since)
 	switch {
-	case !connected && lasted >= followAfter:
-		r.opts.Follow(true)
-	case connected && lasted >= restAfter && !r.opts.Leaving():
+	case last.connected && lasted >= restAfter && !r.opts.Leaving():
 		r.opts.Follow(false)
+	case last.connected || lasted < followAfter || now.Sub(last.probed) < probeEvery || r.opts.Follower.Synced():
+	default:
+		last.probed = now
+		if r.readRegistered(ctx) {
+			r.opts.Follow(true)
+		}
 	}
 }
 
-// Connected reports whether a coordinator is in use and has been heard of lately.
-func (r *Relay) Connected() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	connected, _ := r.table.Connected(time.Now(), connectedWithin)
-	return connected
+// readRegistered reads the registered nodes and reports whether the store answered.
+func (r *Relay) readRegistered(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, registeredTimeout)
+	defer cancel()
+	fleet, err := r.opts.Registered(ctx)
+	if err != nil {
+		r.opts.Log.WithError(err).Debug("the registered nodes cannot be read")
+		return false
+	}
+	r.keep(fleet)
+	return true
 }
 
-// Ready reports whether a coordinator can answer requests of this node's callers.
-func (r *Relay) Ready() bool {
+func (r *Relay) connection() coordinator.Connection {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, configured := r.table.Connected(time.Now(), connectedWithin)
-	return configured
+	return r.table.Connection(time.Now())
 }
+
+// Ready reports whether a coordinator can answer requests of this node's callers.
+func (r *Relay) Ready() bool { return r.connection().Serving }
--- a/node/relay/news.go
+++ b/node/relay/news.go
@@ -4,12 +4,14 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/carobmill/carobmill/policy/coordinator"
 )
 
 // state is what heartbeats tell.
 type state struct {
 	unavailable   bool
-	configured    bool
+	condition     coordinator.Condition
 	fleetRevision uint64
 }
 
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -21,6 +21,9 @@
 	// connection included. It takes a millisecond or two, and up to 80 where a VM's
 	// quota of processor time is used up for the rest of a tenth of a second.
 	ackTimeout = 90 * time.Millisecond
+	// maxTries bounds the coordinators that get a request, so that its caller hears soon
+	// where none of them answers.
+	maxTries = 3
 	// stoodStill is the lateness of a timer that tells that this process did not run.
 	stoodStill = 15 * time.Millisecond
 	// answerMargin is how much longer than its caller a request waits for the
@@ -85,10 +88,10 @@
 // this node. It returns when the answer is known; ctx ends when the caller has gone.
 func (r *Relay) Serve(ctx context.Context, req *forward.Request) forward.Answer {
 	tried := make(map[string]bool)
-	for {
-		to, ok := r.pick(tried)
-		if !ok {
-			return r.local(ctx, req)
+	for range maxTries {
+		to, condition, ok := r.pick(tried)
+		if !ok || condition.Stale && r.current() {
+			break
 		}
 		tried[to.Node] = true
 		answer, done := r.send(ctx, to, req)
@@ -96,12 +99,18 @@
 			return answer
 		}
 	}
+	return r.local(ctx, req)
+}
+
+// current reports whether this node follows the store by itself and has new news.
+func (r *Relay) current() bool {
+	return r.opts.Follower.View() != nil && !r.opts.Follower.Stale()
 }
 
-func (r *Relay) pick(tried map[string]bool) (coordinator.Member, bool) {
+func (r *Relay) pick(tried map[string]bool) (coordinator.Member, coordinator.Condition, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.Pick(tried)
+	return r.table.Pick(time.Now(), tried)
 }
 
 // send sends a request to a coordinator. done is false when another one should get it;
@@ -117,6 +126,10 @@
 		return forward.Answer{Outcome: forward.Late}, true
 	case err == nil && result.refusal == pb.RelayRefusal_RELAY_REFUSAL_BEHIND:
 		// It will know in a moment; others may know already.
+	case err == nil && result.refusal == pb.RelayRefusal_RELAY_REFUSAL_ISOLATED && !req.Repeat:
+		// This node's data centre is cut off, most likely: whoever comes back to
+		// another node is served sooner than this one could find out.
+		return r.refuse(req), true
 	default:
 		r.failed(to, err, result.refusal)
 	}
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -34,6 +34,7 @@
 	version   uint64
 	following bool
 	isolated  bool
+	stale     bool
 	leaving   bool
 	fleet     coordinator.Fleet
 	hurried   int
@@ -73,6 +74,12 @@
 	return n.following
 }
 
+func (n *node) Stale() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stale
+}
+
 func (n *node) Hurry() { n.set(func() { n.hurried++ }) }
 
 func (n *node) Isolated() bool {
@@ -100,6 +107,9 @@
 		n.set(func() { n.released++ })
 		return forward.Answer{Outcome: forward.Late}
 	}
+	if n.Isolated() {
+		return forward.Answer{Outcome: forward.NotRun, Version: version}
+	}
 	if req.Repeat && req.Method == "POST" {
 		return forward.Answer{Outcome: forward.Failed, Version: version}
 	}
@@ -348,6 +358,51 @@
 	})
 }
 
+// The same data centre while its callers still come: they are refused at once, and not
+// after every coordinator out of reach was waited for.
+func TestIsolatedRequestsAreRefusedAtOnce(t *testing.T) {
+	run(t, func(w *world) {
+		for _, n := range w.big {
+			n.set(func() { n.isolated = true })
+		}
+		began := time.Now()
+		a := w.ask("POST")
+		w.Assert(a.Outcome, qt.Equals, forward.NotRun)
+		w.Assert(a.RetryAfter > 0, qt.IsTrue)
+		w.Assert(time.Since(began) < 20*time.Millisecond, qt.IsTrue)
+	})
+}
+
+// The store turns one coordinator away and serves all others. A version that comes into
+// force meanwhile is unknown there, so that the small nodes use the other one. When the
+// store is away from both, they are used all the same.
+func TestCoordinatorWithOldNewsIsLeft(t *testing.T) {
+	run(t, func(w *world) {
+		used, other := w.answering()
+		used.set(func() { used.stale = true })
+		time.Sleep(1500 * time.Millisecond)
+		w.Assert(string(w.ask("GET").Body), qt.Equals, other.member.Node)
+		w.Assert(other.request(0).Repeat, qt.IsFalse)
+		other.set(func() { other.stale = true })
+		w.small.set(func() { w.small.stale = true })
+		time.Sleep(1500 * time.Millisecond)
+		w.Assert(string(w.ask("GET").Body), qt.Equals, used.member.Node)
+		w.Assert(w.small.relay.Ready(), qt.IsTrue)
+	})
+}
+
+// The store turns all coordinators away and serves the small node, which is the only one
+// to know what is in force: it answers by itself.
+func TestSmallNodeWithNewNewsServesAlone(t *testing.T) {
+	run(t, func(w *world) {
+		for _, n := range w.big {
+			n.set(func() { n.stale = true })
+		}
+		time.Sleep(5 * time.Second)
+		w.Assert(string(w.ask("GET").Body), qt.Equals, "small")
+	})
+}
+
 // A caller leaves. The coordinator's work for it ends at once.
 func TestCallerWhoLeavesFreesTheCoordinator(t *testing.T) {
 	run(t, func(w *world) {
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -17,8 +17,9 @@
 
 const (
 	// catchUp is how long a coordinator waits for a configuration that the sender has
-	// seen already: a call to the store takes 4 ms, a node's own pace 500.
-	catchUp = 150 * time.Millisecond
+	// seen already, which is part of the sender's wait for its acknowledgement. A call
+	// to the store takes 4 ms.
+	catchUp = 50 * time.Millisecond
 	// lookEvery is how often it looks whether something has changed.
 	lookEvery = 10 * time.Millisecond
 	// newsEvery is how often is looked whether waiting heartbeats have news to hear. A
@@ -36,6 +37,8 @@
 	Synced() bool
 	// Hurry asks for news at once.
 	Hurry()
+	// Stale reports whether the store has not answered for a while.
+	Stale() bool
 }
 
 // Local answers requests by asking the shards from this node.
@@ -75,7 +78,7 @@
 func (s *Server) Relay(m *pb.RelayRequest, stream grpc.ServerStreamingServer[pb.RelayResponse]) error {
 	now := time.Now()
 	if refusal := s.refuse(stream.Context(), m.GetLeastVersion()); refusal != 0 {
-		return stream.Send(&pb.RelayResponse{Event: &pb.RelayResponse_Refusal{Refusal: refusal}})
+		return stream.Send(refused(refusal))
 	}
 	// Sent before the request begins, so that a sender without it knows of a
 	// coordinator that is gone long before the deadline.
@@ -83,14 +86,18 @@
 		return err
 	}
 	answer := s.opts.Local.Serve(stream.Context(), decode(m, now))
+	if answer.Outcome == forward.NotRun && s.opts.Local.Isolated() {
+		return stream.Send(refused(pb.RelayRefusal_RELAY_REFUSAL_ISOLATED))
+	}
 	return stream.Send(&pb.RelayResponse{Event: &pb.RelayResponse_Answer{Answer: encodeAnswer(&answer)}})
 }
 
+func refused(why pb.RelayRefusal) *pb.RelayResponse {
+	return &pb.RelayResponse{Event: &pb.RelayResponse_Refusal{Refusal: why}}
+}
+
 // refuse returns why a request is not begun with, or 0.
 func (s *Server) refuse(ctx context.Context, leastVersion uint64) pb.RelayRefusal {
-	if s.opts.Local.Isolated() {
-		return pb.RelayRefusal_RELAY_REFUSAL_ISOLATED
-	}
 	until := time.Now().Add(catchUp)
 	for {
 		v := s.opts.Follower.View()
@@ -99,7 +106,7 @@
 			return pb.RelayRefusal_RELAY_REFUSAL_NO_CONFIGURATION
 		case v.Index.Version >= leastVersion:
 			return 0
-		case time.Now().After(until) || ctx.Err() != nil:
+		case time.Now().After(until) || ctx.Err() != nil || s.opts.Follower.Stale():
 			return pb.RelayRefusal_RELAY_REFUSAL_BEHIND
 		}
 		s.opts.Follower.Hurry()
@@ -112,11 +119,15 @@
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait))
 	defer cancel()
 	now := s.state()
-	if !now.unavailable && now.configured && now.fleetRevision <= m.GetFleetRevision() {
+	if !now.unavailable && now.condition.Configured && now.fleetRevision <= m.GetFleetRevision() {
 		now = s.news.await(ctx, now)
 	}
 	resp := &pb.HeartbeatResponse{
-		Unavailable: now.unavailable, Configured: now.configured, FleetRevision: now.fleetRevision,
+		Unavailable:   now.unavailable,
+		Configured:    now.condition.Configured,
+		Stale:         now.condition.Stale,
+		Isolated:      now.condition.Isolated,
+		FleetRevision: now.fleetRevision,
 	}
 	if fleet := s.opts.Follower.Fleet(); fleet.Revision > m.GetFleetRevision() {
 		resp.FleetRevision = fleet.Revision
@@ -128,8 +139,12 @@
 // state is what heartbeats tell.
 func (s *Server) state() state {
 	return state{
-		unavailable:   s.opts.Leaving() || s.opts.Local.Isolated() || !s.opts.Follower.Synced(),
-		configured:    s.opts.Follower.View() != nil,
+		unavailable: s.opts.Leaving() || !s.opts.Follower.Synced(),
+		condition: coordinator.Condition{
+			Configured: s.opts.Follower.View() != nil,
+			Stale:      s.opts.Follower.Stale(),
+			Isolated:   s.opts.Local.Isolated(),
+		},
 		fleetRevision: s.opts.Follower.Fleet().Revision,
 	}
 }
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -29,6 +29,16 @@
 	// usualAck is the time to an acknowledgement up to which coordinators count as equal,
 	// so that a node stays with the one that it uses.
 	usualAck = 3 * time.Millisecond
+	// staleDelay and isolatedDelay keep requests from coordinators whose news is old, or
+	// that reach no other data centre, while any other can be used, in seconds. When
+	// all of a data centre's are isolated, those elsewhere are most likely out of reach,
+	// so that unheardDelay keeps requests from those that no heartbeat has reached.
+	staleDelay    = 0.2
+	isolatedDelay = 0.5
+	unheardDelay  = 1.0
+	// heardFor is the age of an answered heartbeat up to which a coordinator counts as
+	// heard of. Heartbeats take a second.
+	heardFor = 3 * time.Second
 	// ackWeight of a new acknowledgement in a coordinator's expected delay.
 	ackWeight = 0.2
 	// spread keeps nodes from all choosing the same one of equal coordinators, and each
@@ -66,9 +76,20 @@
 	// heartbeat has reached it.
 	streak     int
 	pauseUntil time.Time
-	// heard is when a heartbeat was answered last, and configured what it told.
-	heard      time.Time
-	configured bool
+	// heard is when a heartbeat was answered last, and condition what it told.
+	heard     time.Time
+	condition Condition
+}
+
+// Condition is what a coordinator says of itself.
+type Condition struct {
+	// Configured: it knows a configuration.
+	Configured bool
+	// Stale: the store has not answered it for a while. It may not know of a version
+	// in force, or of a replica that leaves.
+	Stale bool
+	// Isolated: it reaches no other data centre.
+	Isolated bool
 }
 
 // Table is the coordinators that a node may use. Not safe for concurrent use.
@@ -111,22 +132,42 @@
 	return true
 }
 
-// Pick returns the coordinator expected to answer first. Tried ones are left out.
-func (t *Table) Pick(tried map[string]bool) (Member, bool) {
+// Pick returns the coordinator expected to answer first, and its condition. Tried ones
+// are left out.
+func (t *Table) Pick(now time.Time, tried map[string]bool) (m Member, c Condition, ok bool) {
+	isolated := t.isolated(now)
 	var best *peer
 	var bestCost float64
 	for _, p := range t.peers {
 		if p.streak > 0 || tried[p.member.Node] {
 			continue
 		}
-		if cost := t.cost(p); best == nil || cost < bestCost {
+		cost := t.cost(p)
+		if isolated && !p.heardOf(now) {
+			cost += unheardDelay
+		}
+		if best == nil || cost < bestCost {
 			best, bestCost = p, cost
 		}
 	}
 	if best == nil {
-		return Member{}, false
+		return Member{}, Condition{}, false
+	}
+	return best.member, best.condition, true
+}
+
+func (p *peer) heardOf(now time.Time) bool {
+	return p.streak == 0 && now.Sub(p.heard) <= heardFor
+}
+
+// isolated reports whether a coordinator of the own data centre reaches no other one.
+func (t *Table) isolated(now time.Time) bool {
+	for _, p := range t.peers {
+		if p.member.DataCentre == t.own.DataCentre && p.heardOf(now) && p.condition.Isolated {
+			return true
+		}
 	}
-	return best.member, true
+	return false
 }
 
 func (t *Table) cost(p *peer) float64 {
@@ -134,7 +175,14 @@
 	if p.member.DataCentre != t.own.DataCentre {
 		cost += awayDelay
 	}
-	return cost * (1 + spread*rank(t.own.Node, p.member.Node))
+	cost *= 1 + spread*rank(t.own.Node, p.member.Node)
+	if p.condition.Stale {
+		cost += staleDelay
+	}
+	if p.condition.Isolated {
+		cost += isolatedDelay
+	}
+	return cost
 }
 
 // rank is a number from 0 to 1 that is fixed for a pair of nodes.
@@ -144,11 +192,15 @@
 	return float64(h.Sum32()) / (1 << 32)
 }
 
-// Due returns a coordinator that failed and is to be tried again by a heartbeat.
+// Due returns a coordinator to which a heartbeat is to be sent although it is not in
+// use: one that failed, or, while the own data centre's are isolated, one that was not
+// heard of.
 func (t *Table) Due(now time.Time) (Member, bool) {
+	isolated := t.isolated(now)
 	var due *peer
 	for _, p := range t.peers {
-		if p.streak == 0 || now.Before(p.pauseUntil) {
+		waits := p.streak > 0 || isolated && !p.heardOf(now)
+		if !waits || now.Before(p.pauseUntil) {
 			continue
 		}
 		if due == nil || p.pauseUntil.Before(due.pauseUntil) {
@@ -168,15 +220,15 @@
 	}
 }
 
-// Reached notes that a heartbeat was answered by a coordinator that knows a configuration
-// or none, and reports whether it was out of use until now.
-func (t *Table) Reached(now time.Time, node string, configured bool) (again bool) {
+// Reached notes that a heartbeat was answered, and reports whether the coordinator was
+// out of use until now.
+func (t *Table) Reached(now time.Time, node string, c Condition) (again bool) {
 	p := t.peers[node]
 	if p == nil {
 		return false
 	}
 	again = p.streak > 0
-	p.streak, p.heard, p.configured = 0, now, configured
+	p.streak, p.heard, p.condition = 0, now, c
 	return again
 }
 
@@ -194,14 +246,23 @@
 	return first
 }
 
-// Connected reports whether a coordinator that is in use answered a heartbeat within
-// that time, and whether one that did knows a configuration.
-func (t *Table) Connected(now time.Time, within time.Duration) (connected, configured bool) {
+// Connection is how a node stands with its coordinators.
+type Connection struct {
+	// Current: one was heard of whose news is new and that is not isolated.
+	Current bool
+	// Serving: one was heard of that can answer requests.
+	Serving bool
+}
+
+// Connection returns how the node stands with its coordinators.
+func (t *Table) Connection(now time.Time) Connection {
+	var c Connection
 	for _, p := range t.peers {
-		if p.streak == 0 && now.Sub(p.heard) <= within {
-			connected = true
-			configured = configured || p.configured
+		if !p.heardOf(now) || p.condition.Isolated {
+			continue
 		}
+		c.Current = c.Current || !p.condition.Stale
+		c.Serving = c.Serving || p.condition.Configured
 	}
-	return connected, configured
+	return c
 }
--- a/policy/coordinator/coordinator_test.go
+++ b/policy/coordinator/coordinator_test.go
@@ -36,6 +36,11 @@
 	return t
 }
 
+func pick(t *coordinator.Table) (coordinator.Member, bool) {
+	m, _, ok := t.Pick(now, nil)
+	return m, ok
+}
+
 // Eighty small nodes get a few requests a second each. All go to the large ones of the
 // own data centre, about as many to each, and a node stays with its own.
 func TestSmallNodesSpreadOverTheLargeOnesNextDoor(t *testing.T) {
@@ -43,11 +48,11 @@
 	used := make(map[string]int)
 	for i := range 80 {
 		tab := table(fmt.Sprintf("n%d", i), small, grown())
-		first, ok := tab.Pick(nil)
+		first, ok := pick(tab)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(first.DataCentre, qt.Equals, "a")
 		tab.Acknowledged(first.Node, 2*time.Millisecond)
-		again, _ := tab.Pick(nil)
+		again, _ := pick(tab)
 		c.Assert(again, qt.Equals, first)
 		used[first.Node]++
 	}
@@ -58,7 +63,7 @@
 func TestEqualNodesDoNotRelay(t *testing.T) {
 	c := qt.New(t)
 	tab := table("n", large, grown())
-	_, ok := tab.Pick(nil)
+	_, ok := pick(tab)
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(tab.Empty(), qt.IsTrue)
 }
@@ -71,7 +76,7 @@
 	tab := table("n", small, grown(coordinator.Member{Node: "other", DataCentre: "a", Capacity: small}))
 	tab.Failed(now, "a0")
 	tab.Failed(now, "a1")
-	to, ok := tab.Pick(nil)
+	to, ok := pick(tab)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(to.Capacity, qt.Equals, large)
 	c.Assert(to.DataCentre, qt.Not(qt.Equals), "a")
@@ -84,11 +89,39 @@
 		}
 	}
 	c.Assert(trials >= 10 && trials <= 18, qt.IsTrue, qt.Commentf("%d trials of two in 10 s", trials))
-	c.Assert(tab.Reached(now, "a0", true), qt.IsTrue)
-	to, _ = tab.Pick(nil)
+	c.Assert(tab.Reached(now, "a0", coordinator.Condition{Configured: true}), qt.IsTrue)
+	to, _ = pick(tab)
 	c.Assert(to.Node, qt.Equals, "a0")
 }
 
+// The store turns the coordinators next door away: those of other data centres, whose
+// news is new, get the requests. A data centre is cut off: its coordinators say so, and
+// get its requests all the same, since those elsewhere cannot be reached; as soon as a
+// heartbeat has reached one of them it is used.
+func TestConditionsOrderTheCoordinators(t *testing.T) {
+	c := qt.New(t)
+	tab := table("n", small, grown())
+	for _, node := range []string{"a0", "a1"} {
+		tab.Reached(now, node, coordinator.Condition{Configured: true, Stale: true})
+	}
+	to, _ := pick(tab)
+	c.Assert(to.DataCentre, qt.Not(qt.Equals), "a")
+	c.Assert(tab.Connection(now), qt.Equals, coordinator.Connection{Serving: true})
+
+	for _, node := range []string{"a0", "a1"} {
+		tab.Reached(now, node, coordinator.Condition{Configured: true, Isolated: true})
+	}
+	to, _ = pick(tab)
+	c.Assert(to.DataCentre, qt.Equals, "a")
+	c.Assert(tab.Connection(now), qt.Equals, coordinator.Connection{})
+	due, ok := tab.Due(now)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(due.DataCentre, qt.Not(qt.Equals), "a")
+	tab.Reached(now, due.Node, coordinator.Condition{Configured: true})
+	to, _ = pick(tab)
+	c.Assert(to, qt.Equals, due)
+}
+
 // News of the fleet comes by several ways. What is older than what is known does not
 // bring back a coordinator that has left.
 func TestOlderFleetChangesNothing(t *testing.T) {
@@ -96,7 +129,7 @@
 	tab := table("n", small, grown())
 	c.Assert(tab.Keep(coordinator.Fleet{Revision: 9}), qt.IsTrue)
 	c.Assert(tab.Keep(grown()), qt.IsFalse)
-	_, ok := tab.Pick(nil)
+	_, ok := pick(tab)
 	c.Assert(ok, qt.IsFalse)
 }
 
