Do not repeat an acknowledged request at another coordinator

A coordinator also began with requests whose sender had left. Change: what was acknowledged and is lost ends at once as failed, and the caller may ask anew; a coordinator looks whether its sender is still there before it begins.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -214,8 +214,8 @@
 
 // Closing implements Service.
 func (g *Gateway) Closing() bool {
-	cutOff := !g.relay.Ready() && g.forwarder.Isolated()
-	return g.closing.Load() || cutOff
+	serving, _ := g.serving()
+	return g.closing.Load() || !serving
 }
 
 // Ready reports whether the balancer may send callers here, and why not.
@@ -223,13 +223,18 @@
 	if g.stopping.Load() {
 		return false, "shutting down"
 	}
-	if g.relay.Ready() {
+	return g.serving()
+}
+
+// serving reports whether this node can answer callers, by itself or through a
+// coordinator, and why not.
+func (g *Gateway) serving() (bool, string) {
+	switch {
+	case g.relay.Ready():
 		return true, ""
-	}
-	if g.directory.View() == nil {
+	case g.directory.View() == nil:
 		return false, "no configuration is known, and no coordinator is in reach"
-	}
-	if g.forwarder.Isolated() {
+	case g.forwarder.Isolated():
 		return false, "no other data centre is in reach"
 	}
 	return true, ""
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -30,8 +30,10 @@
 	heartbeatSlack = 250 * time.Millisecond
 	// trialTimeout bounds a heartbeat to a coordinator that was out of use.
 	trialTimeout = 250 * time.Millisecond
-	// tendEvery is how often is looked whether one is due, and whether to follow the
-	// store; alone, a node without coordinators looks each aloneEvery.
+	// trialEvery is how often is looked whether one is due while any is out of use;
+	// tendEvery while none is, and whether to follow the store; alone, a node without
+	// coordinators looks each aloneEvery.
+	trialEvery = 50 * time.Millisecond
 	tendEvery  = 250 * time.Millisecond
 	aloneEvery = time.Second
 	// followAfter is how long it has to be connected to none with new news before it
@@ -147,19 +149,26 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		r.mu.Lock()
-		alone := r.table.Empty()
+		next := r.nextLook()
 		to, due := r.table.Due(now)
 		r.mu.Unlock()
 		if due {
 			r.beat(ctx, to, 0, trialTimeout)
 		}
 		r.judgeRole(ctx, &role)
-		if alone {
-			pause(ctx, aloneEvery)
-		} else {
-			pause(ctx, tendEvery)
-		}
+		pause(ctx, next)
+	}
+}
+
+// nextLook is when to look again. r.mu is held.
+func (r *Relay) nextLook() time.Duration {
+	switch {
+	case r.table.Empty():
+		return aloneEvery
+	case r.table.AllUsable():
+		return tendEvery
 	}
+	return trialEvery
 }
 
 // role is whether this node is connected to a coordinator with new news, since when,
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -31,6 +31,9 @@
 	answerMargin = 300 * time.Millisecond
 	// defaultPatience stands in for callers that do not say how long they wait.
 	defaultPatience = 30 * time.Second
+	// coordinatorWait is how long a request waits for a coordinator when there is none
+	// in use: one that restarts takes 100 ms to read the store.
+	coordinatorWait = 300 * time.Millisecond
 	// localWait is how long a request waits for this node to learn a configuration
 	// when no coordinator takes it: reading the store takes four calls of 4 ms, and
 	// decoding 20 ms on the smallest VM.
@@ -89,9 +92,9 @@
 func (r *Relay) Serve(ctx context.Context, req *forward.Request) forward.Answer {
 	tried := make(map[string]bool)
 	for range maxTries {
-		to, condition, ok := r.pick(tried)
+		to, condition, ok := r.await(ctx, req, tried)
 		if !ok || condition.Stale && r.current() {
-			break
+			return r.local(ctx, req)
 		}
 		tried[to.Node] = true
 		answer, done := r.send(ctx, to, req)
@@ -99,14 +102,39 @@
 			return answer
 		}
 	}
-	return r.local(ctx, req)
+	return r.refuse(req)
 }
 
-// current reports whether this node follows the store by itself and has new news.
-func (r *Relay) current() bool {
-	return r.opts.Follower.View() != nil && !r.opts.Follower.Stale()
+// await returns a coordinator for a request. When there is none, it waits a moment for
+// one, unless this node can answer by itself.
+//
+// Failure: all nodes lose power and come back, small ones as soon as large ones.
+// Symptom: eighty nodes read the whole store because a coordinator was 50 ms later than
+// they, thirty of which had requests; 700 calls.
+func (r *Relay) await(ctx context.Context, req *forward.Request, tried map[string]bool) (coordinator.Member, coordinator.Condition, bool) {
+	until := time.Now().Add(min(coordinatorWait, patienceOf(req)/4))
+	for {
+		to, condition, ok := r.pick(tried)
+		if ok || r.knows() || r.alone() || ctx.Err() != nil || time.Now().After(until) {
+			return to, condition, ok
+		}
+		pause(ctx, lookEvery)
+	}
+}
+
+// knows reports whether this node knows a configuration by itself.
+func (r *Relay) knows() bool { return r.opts.Follower.View() != nil }
+
+// alone reports whether there are no coordinators to wait for.
+func (r *Relay) alone() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Empty()
 }
 
+// current reports whether this node follows the store by itself and has new news.
+func (r *Relay) current() bool { return r.knows() && !r.opts.Follower.Stale() }
+
 func (r *Relay) pick(tried map[string]bool) (coordinator.Member, coordinator.Condition, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -136,9 +164,15 @@
 	if result.sent && result.refusal == 0 {
 		req.Repeat = true
 	}
+	if result.acknowledged && result.refusal == 0 {
+		// Its replicas may have been asked, hedges included; another coordinator's
+		// would be more than the route allows. The caller may ask anew.
+		r.logLost(to, req)
+		return forward.Answer{Outcome: forward.Failed}, true
+	}
 	if r.lines.Take(time.Now(), true) {
 		r.opts.Log.WithFields(logrus.Fields{
-			"request": req.ID, "coordinator": to.Node, "acknowledged": result.acknowledged,
+			"request": req.ID, "coordinator": to.Node,
 			"refusal": result.refusal.String(), "may_have_begun": req.Repeat,
 			"took_ms": time.Since(began).Milliseconds(), logrus.ErrorKey: err,
 		}).Info("a coordinator did not answer: another one gets the request")
@@ -149,6 +183,16 @@
 	return forward.Answer{}, false
 }
 
+// logLost writes that a request was lost with its coordinator.
+func (r *Relay) logLost(to coordinator.Member, req *forward.Request) {
+	if r.lines.Take(time.Now(), true) {
+		r.opts.Log.WithFields(logrus.Fields{
+			"request": req.ID, "coordinator": to.Node, "outcome": forward.Failed.String(),
+			"took_ms": time.Since(req.Arrived).Milliseconds(),
+		}).Info("a coordinator was lost with the request")
+	}
+}
+
 // unanswered is the outcome of a request whose time is over.
 func unanswered(req *forward.Request) forward.Outcome {
 	if req.Repeat {
@@ -338,7 +382,7 @@
 	if r.lines.Take(time.Now(), true) {
 		r.opts.Log.WithFields(logrus.Fields{
 			"request": req.ID, "outcome": outcome.String(), "retry_after_ms": localRetryAfter.Milliseconds(),
-		}).Info("no coordinator takes the request, and no configuration is known")
+		}).Info("no coordinator takes the request, and this node cannot answer it")
 	}
 	return forward.Answer{Outcome: outcome, RetryAfter: localRetryAfter}
 }
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -80,6 +80,11 @@
 	if refusal := s.refuse(stream.Context(), m.GetLeastVersion()); refusal != 0 {
 		return stream.Send(refused(refusal))
 	}
+	if stream.Context().Err() != nil {
+		// Its sender has given it to another coordinator. To begin with it now would
+		// bring it to more replicas than its route allows.
+		return stream.Context().Err()
+	}
 	// Sent before the request begins, so that a sender without it knows of a
 	// coordinator that is gone long before the deadline.
 	if err := stream.Send(&pb.RelayResponse{Event: &pb.RelayResponse_Acknowledged{Acknowledged: true}}); err != nil {
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -46,7 +46,7 @@
 	spread = 0.1
 	// minPause and maxPause bound how long a coordinator that failed is left alone until
 	// it is tried again, by a heartbeat and not by a request.
-	minPause = 200 * time.Millisecond
+	minPause = 100 * time.Millisecond
 	maxPause = 2 * time.Second
 )
 
@@ -110,6 +110,16 @@
 // Empty reports whether no node of the fleet may be a coordinator for this one.
 func (t *Table) Empty() bool { return len(t.peers) == 0 }
 
+// AllUsable reports whether no coordinator is out of use.
+func (t *Table) AllUsable() bool {
+	for _, p := range t.peers {
+		if p.streak > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Keep takes a fleet unless a newer one is known, and reports whether it was taken.
 func (t *Table) Keep(f Fleet) bool {
 	if f.Revision <= t.revision {
