--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -17,7 +16,6 @@
 	"google.golang.org/grpc"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
-	"github.com/carobmill/carobmill/node/admin"
 	"github.com/carobmill/carobmill/node/backend"
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/forward"
@@ -25,8 +23,6 @@
 	"github.com/carobmill/carobmill/node/relay"
 	"github.com/carobmill/carobmill/node/ring"
 	"github.com/carobmill/carobmill/node/telemetry"
-	"github.com/carobmill/carobmill/policy/coordinator"
-	"github.com/carobmill/carobmill/policy/retrybudget"
 	"github.com/carobmill/carobmill/policy/route"
 )
 
@@ -71,104 +67,6 @@
 	stopping, closing atomic.Bool
 }
 
-const (
-	// dialTimeout bounds a connection to a replica. Inside a region it takes a
-	// millisecond or two, and ten where the replica is busy.
-	dialTimeout = 500 * time.Millisecond
-	// holdClosed is how long a closed connection counts against a replica's limit
-	// when the replica does not confirm it.
-	holdClosed = 2 * time.Second
-	// maxHeaderBytes bounds a request's headers.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds the time to send them.
-	headerTimeout = 10 * time.Second
-	// idleTimeout closes idle connections of callers; above any limit that operators
-	// let callers rely on.
-	idleTimeout = 2 * time.Minute
-)
-
-// New builds a forwarding node from checked settings. It opens nothing yet.
-func New(settings *pb.Settings, log logrus.FieldLogger, adapter Adapter) (*Gateway, error) {
-	credentials, err := peer.Credentials(settings.GetTls())
-	if err != nil {
-		return nil, err
-	}
-	peers := peer.NewPool(credentials.Client, nil)
-	metrics, metricsHandler := telemetry.New()
-	g := &Gateway{
-		settings: settings,
-		log:      log.WithField("node", settings.GetNode()),
-		boot:     rand.Uint64(),
-		ring:     ring.New(int(settings.GetLimits().GetRingSize()), metrics.Decision),
-		metrics:  metrics,
-		peers:    peers,
-	}
-	g.backends = backend.New(backend.Options{
-		DialTimeout:    dialTimeout,
-		HoldClosed:     holdClosed,
-		MaxResultBytes: int64(settings.GetLimits().GetMaxResultBytes()),
-		Event:          g.event,
-	})
-	metrics.AddSource(g.backends.Report)
-	forwarding := settings.GetForwarding()
-	own := coordinator.Member{
-		Node:       settings.GetNode(),
-		Address:    settings.GetPeerAddress(),
-		DataCentre: settings.GetDataCentre(),
-		Capacity:   forwarding.GetCapacity(),
-	}
-	g.directory = directory.New(directory.Options{
-		Store:   adapter.Store(),
-		Node:    own,
-		Log:     g.log,
-		Changed: g.changed,
-	})
-	g.forwarder = forward.New(forward.Options{
-		Source:     g.directory,
-		Backend:    g.backends,
-		Dialect:    adapter.Dialect(),
-		DataCentre: settings.GetDataCentre(),
-		Extra: retrybudget.Bound{
-			Ratio:  forwarding.GetExtraRatio(),
-			Slack:  forwarding.GetExtraSlack(),
-			Window: seconds(forwarding.GetExtraWindowS()),
-		},
-		Log:    g.log,
-		Record: g.record,
-	})
-	g.relay = relay.New(relay.Options{
-		Own:        own,
-		Pool:       peers,
-		Follower:   g.directory,
-		Follow:     g.directory.Follow,
-		Local:      g.forwarder,
-		Registered: g.directory.Registered,
-		Leaving:    g.stopping.Load,
-		Log:        g.log,
-	})
-	g.peerServer = relay.NewServer(relay.ServerOptions{
-		Follower: g.directory,
-		Local:    g.forwarder,
-		Leaving:  g.stopping.Load,
-	}, credentials.Server)
-	g.callerServer = &http.Server{
-		Handler:           adapter.Handler(g),
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-	}
-	g.adminServer = &http.Server{
-		Handler: admin.NewHandler(admin.Options{
-			Ready:   g.Ready,
-			Status:  g,
-			Ring:    g.ring,
-			Metrics: metricsHandler,
-		}),
-		ReadHeaderTimeout: headerTimeout,
-	}
-	return g, nil
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // event records a decision of one of the parts.
