Revert "Prefer coordinators in data centres that hold the shards"

Seen by counting attempts in a trial: every data centre holds three fifths of the shards, and 52% of first attempts stay at home, so that no data centre is better than another. Conclusion: nothing to choose by; reverted. What would cut these bytes is merging in each data centre what its own coordinators fetch.

--- a/node/directory/view.go
+++ b/node/directory/view.go
@@ -13,9 +13,6 @@
 	Index *route.Index
 	// Replicas that may get new requests, by service.
 	Replicas map[string][]*registry.Replica
-	// LocalServices is the share of services that have a usable replica in a data
-	// centre, by its name.
-	LocalServices map[string]float64
 	// Revision of the store that the view reflects, and when it was heard of.
 	Revision uint64
 	At       time.Time
@@ -48,30 +45,14 @@
 	for _, name := range s.out {
 		out[name] = true
 	}
-	replicas := s.replicas.Usable(out)
 	return &View{
-		Index:         s.index,
-		Replicas:      replicas,
-		LocalServices: localServices(replicas),
-		Revision:      s.revision,
-		At:            now,
+		Index:    s.index,
+		Replicas: s.replicas.Usable(out),
+		Revision: s.revision,
+		At:       now,
 	}
 }
 
-func localServices(replicas map[string][]*registry.Replica) map[string]float64 {
-	shares := make(map[string]float64)
-	for _, list := range replicas {
-		here := make(map[string]bool)
-		for _, r := range list {
-			here[r.DataCentre] = true
-		}
-		for dc := range here {
-			shares[dc] += 1 / float64(len(replicas))
-		}
-	}
-	return shares
-}
-
 // take applies one record and reports whether the view changes. doubtful says that
 // entries may have vanished because the store was away.
 func (s *state) take(now time.Time, r Record, doubtful bool) bool {
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -116,11 +116,6 @@
 		pause(ctx, lookAgain)
 	}
 	r.keep(decodeFleet(resp))
-	if resp.GetConfigured() {
-		r.mu.Lock()
-		r.table.KeepLocalServices(resp.GetLocalServices())
-		r.mu.Unlock()
-	}
 }
 
 func (r *Relay) heartbeat(ctx context.Context, to coordinator.Member, wait, timeout time.Duration) (*pb.HeartbeatResponse, error) {
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -134,9 +134,6 @@
 		Isolated:      now.condition.Isolated,
 		FleetRevision: now.fleetRevision,
 	}
-	if v := s.opts.Follower.View(); v != nil {
-		resp.LocalServices = v.LocalServices
-	}
 	if fleet := s.opts.Follower.Fleet(); fleet.Revision > m.GetFleetRevision() {
 		resp.FleetRevision = fleet.Revision
 		resp.Fleet = encodeFleet(fleet)
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -29,11 +29,6 @@
 	// usualAck is the time to an acknowledgement up to which coordinators count as equal,
 	// so that a node stays with the one that it uses.
 	usualAck = 3 * time.Millisecond
-	// partsAway is what a coordinator costs in whose data centre no service has a replica:
-	// a request to each shard goes 0.5 ms each way between data centres, and its part
-	// comes back that way: 65 KB a request in place of 3 KB for the merged answer. It
-	// outweighs awayDelay. Of Chile's quiet day 59 MB crossed before.
-	partsAway = 0.003
 	// staleDelay and isolatedDelay keep requests from coordinators whose news is old, or
 	// that reach no other data centre, while any other can be used, in seconds. When
 	// all of a data centre's are isolated, those elsewhere are most likely out of reach,
@@ -102,8 +97,6 @@
 	own      Member
 	revision uint64
 	peers    map[string]*peer
-	// localServices is the share of services with a replica in a data centre.
-	localServices map[string]float64
 }
 
 // NewTable returns a table without coordinators.
@@ -149,9 +142,6 @@
 	return true
 }
 
-// KeepLocalServices takes the share of services that have a replica in each data centre.
-func (t *Table) KeepLocalServices(shares map[string]float64) { t.localServices = shares }
-
 // Pick returns the coordinator expected to answer first, and its condition. Tried ones
 // are left out.
 func (t *Table) Pick(now time.Time, tried map[string]bool) (m Member, c Condition, ok bool) {
@@ -195,9 +185,6 @@
 	if p.member.DataCentre != t.own.DataCentre {
 		cost += awayDelay
 	}
-	if t.localServices != nil {
-		cost += partsAway * (1 - t.localServices[p.member.DataCentre])
-	}
 	cost *= 1 + spread*rank(t.own.Node, p.member.Node)
 	if p.condition.Stale {
 		cost += staleDelay
