Wait for three answers of the store before following it unasked

It would repeat after each outage. Ruled out: node_cut, which made six nodes follow it, as it must. Change: a small node that is connected to no coordinator with new news follows the store after three answers, a second apart; a request that needs it still makes it do so at once. The test fails without it.

--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -38,10 +38,14 @@
 	aloneEvery = time.Second
 	// followAfter is how long it has to be connected to none with new news before it
 	// follows the store without a request that needs it, and probeEvery how often it
-	// asks meanwhile whether the store answers at all. When the store is away from all,
-	// eighty nodes that follow it would be as many more to read it when it is back.
+	// asks meanwhile whether the store answers at all.
 	followAfter = time.Second
 	probeEvery  = time.Second
+	// probesInARow is how many answers it wants: coordinators ask a store that was away
+	// again after up to 1.2 s. When the store was away from all and is
+	// back, small nodes hear of it as soon as the coordinators whose news was old do:
+	// with one answer forty of 79 read the whole store and registered, 1,200 calls.
+	probesInARow = 3
 	// restAfter is how long it has to be connected before it stops following the store
 	// by itself, so that a coordinator that comes and goes does not make it read the
 	// store over and over.
@@ -172,11 +176,12 @@
 }
 
 // role is whether this node is connected to a coordinator with new news, since when,
-// and when the store was asked last.
+// when the store was asked last, and how often in a row it has answered.
 type role struct {
 	connected bool
 	since     time.Time
 	probed    time.Time
+	answers   int
 }
 
 // judgeRole makes this node follow the store once it has been connected to no
@@ -185,7 +190,7 @@
 func (r *Relay) judgeRole(ctx context.Context, last *role) {
 	now := time.Now()
 	if c := r.connection().Current; c != last.connected {
-		last.connected, last.since = c, now
+		last.connected, last.since, last.answers = c, now, 0
 	}
 	lasted := now.Sub(last.since)
 	switch {
@@ -194,7 +199,12 @@
 	case last.connected || lasted < followAfter || now.Sub(last.probed) < probeEvery || r.opts.Follower.Synced():
 	default:
 		last.probed = now
-		if r.readRegistered(ctx) {
+		if !r.readRegistered(ctx) {
+			last.answers = 0
+			return
+		}
+		last.answers++
+		if last.answers >= probesInARow {
 			r.opts.Follow(true)
 		}
 	}
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
@@ -142,6 +144,8 @@
 	fleet   coordinator.Fleet
 	big     [2]*node
 	small   *node
+	// storeAway makes readings of the registered nodes fail.
+	storeAway atomic.Bool
 }
 
 // run plays a test in virtual time, after the small node has found the coordinators.
@@ -186,7 +190,12 @@
 	pool := peer.NewPool(nil, w.network.Dialer(name))
 	n.relay = relay.New(relay.Options{
 		Own: n.member, Pool: pool, Follower: n, Follow: n.Follow, Local: n, Leaving: n.Leaving, Log: log,
-		Registered: func(context.Context) (coordinator.Fleet, error) { return registered, nil },
+		Registered: func(context.Context) (coordinator.Fleet, error) {
+			if w.storeAway.Load() {
+				return coordinator.Fleet{}, errors.New("connection refused")
+			}
+			return registered, nil
+		},
 	})
 	go func() {
 		n.relay.Run(ctx)
@@ -405,6 +414,27 @@
 	})
 }
 
+// The store is away from all for a few seconds and comes back. The small node hears of
+// that before its coordinators' news is new again: it does not read the store, as eighty
+// would at that moment, and goes on relaying.
+func TestStoreThatComesBackIsNotReadByAll(t *testing.T) {
+	run(t, func(w *world) {
+		w.storeAway.Store(true)
+		for _, n := range w.big {
+			n.set(func() { n.stale = true })
+		}
+		time.Sleep(5 * time.Second)
+		w.storeAway.Store(false)
+		time.Sleep(1500 * time.Millisecond)
+		for _, n := range w.big {
+			n.set(func() { n.stale = false })
+		}
+		time.Sleep(3 * time.Second)
+		w.Assert(w.small.isFollowing(), qt.IsFalse)
+		w.answering()
+	})
+}
+
 // A caller leaves. The coordinator's work for it ends at once.
 func TestCallerWhoLeavesFreesTheCoordinator(t *testing.T) {
 	run(t, func(w *world) {
