Keep the last part of the extra-request budget for shards that decide

It was spent in the order of arrival, so that requests failed for their second lost shard while others retried a shard that they could do without. Change: a retry of a shard without which the answer is still a success may use 60% of the budget, as hedges may.

--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -52,7 +52,7 @@
 	switch {
 	case st == nil:
 		denied = deniedNoReplica
-	case extra && !s.mayRepeat(now, q.f.opts.Source.FleetSize(), request.Spare):
+	case extra && !s.mayRepeat(now, q.f.opts.Source.FleetSize(), request.Spare || q.query.Dispensable(i)):
 		denied = deniedNoBudget
 	}
 	if denied != "" {
@@ -128,8 +128,8 @@
 }
 
 // mayRepeat takes one request out of the service's budget. s.mu is held.
-func (s *service) mayRepeat(now time.Time, size float64, hedge bool) bool {
-	if hedge {
+func (s *service) mayRepeat(now time.Time, size float64, spare bool) bool {
+	if spare {
 		return s.budget.TakeSpare(now, size)
 	}
 	return s.budget.Take(now, size)
--- a/policy/gather/gather.go
+++ b/policy/gather/gather.go
@@ -46,6 +46,8 @@
 	lost bool
 	// denied is set once no further attempt may be sent.
 	denied bool
+	// troubled is set once an attempt has failed.
+	troubled bool
 	// refusals is how often the shard was tried again after a refusal, and againAt when
 	// that is due next; 0 when it is not.
 	refusals int
@@ -94,6 +96,7 @@
 func (q *Query) Failed(i int, counts bool) (retry bool) {
 	s := &q.shards[i]
 	s.out--
+	s.troubled = true
 	if !counts {
 		s.attempts--
 	}
@@ -150,6 +153,20 @@
 	s.lastSent = at
 }
 
+// Dispensable reports whether the answer would still be a success without this shard and
+// all others that an attempt has failed for. While the budget for extra requests is
+// short, its last part is for shards that decide whether there is an answer at all.
+func (q *Query) Dispensable(i int) bool {
+	missing := 1
+	for k := range q.shards {
+		s := &q.shards[k]
+		if k != i && !s.answered && (s.lost || s.troubled) {
+			missing++
+		}
+	}
+	return q.enough(len(q.shards) - missing)
+}
+
 // MoreReplicas reports whether the shard may be sent to a replica that has not had it.
 func (q *Query) MoreReplicas(i int) bool { return q.shards[i].attempts < q.params.MaxAttempts }
 
--- a/policy/gather/gather_test.go
+++ b/policy/gather/gather_test.go
@@ -78,6 +78,25 @@
 	c.Assert(verdict, qt.Equals, gather.Success)
 }
 
+// Four of five replicas refuse most requests, and the budget for extra requests is nearly
+// spent. Nine shards of ten make an answer: the first that was refused can be done
+// without, the second cannot.
+func TestLastPartOfTheBudgetIsForShardsThatDecide(t *testing.T) {
+	c := qt.New(t)
+	q := started(ten(), 4)
+	q.Failed(9, true)
+	c.Assert(q.Dispensable(9), qt.IsTrue)
+	q.Failed(8, true)
+	c.Assert(q.Dispensable(8), qt.IsFalse)
+	q.Sent(9, 0)
+	q.Answered(9)
+	c.Assert(q.Dispensable(8), qt.IsTrue)
+	one := gather.New(gather.Params{Shards: 1, MaxAttempts: 2, MinCoverage: 1, Deadline: time.Second})
+	one.Sent(0, 0)
+	one.Failed(0, true)
+	c.Assert(one.Dispensable(0), qt.IsFalse)
+}
+
 // Two shards of ten stand still and nine are needed: the caller waits on, and gets the
 // answer with the ninth, or a final one at the deadline.
 func TestBelowTheLeastCoverageTheCallerWaits(t *testing.T) {
