Tell callers of a cut-off node to come back when the balancer has noticed

Cause: a data centre is cut off; for two seconds the balancer goes on sending callers to its nodes, which refuse them and told them to come back after 0.1 to 0.25 s, to the same nodes. Most come back once only. Change: while a node cannot serve, a refusal names the time until the balancer has noticed. Callers wait for at most a third of the time that they have left.

--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -27,6 +27,9 @@
 	// holdClosed is how long a closed connection counts against a replica's limit
 	// when the replica does not confirm it.
 	holdClosed = 2 * time.Second
+	// balancerNotices is how long the balancer takes to send callers elsewhere: it asks
+	// every second and acts on the second miss.
+	balancerNotices = 2200 * time.Millisecond
 	// maxHeaderBytes bounds a request's headers.
 	maxHeaderBytes = 64 << 10
 	// headerTimeout bounds the time to send them.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -62,6 +62,9 @@
 	adminServer  *http.Server
 	peerServer   *grpc.Server
 
+	// unservingSince is the time in Unix nanoseconds since which this node cannot answer
+	// callers; 0 while it can.
+	unservingSince atomic.Int64
 	// stopping is set when a graceful shutdown has begun, closing when connections
 	// are to be closed after their answer.
 	stopping, closing atomic.Bool
@@ -98,7 +101,11 @@
 
 // Serve implements Service.
 func (g *Gateway) Serve(ctx context.Context, req *forward.Request) forward.Answer {
-	return g.relay.Serve(ctx, req)
+	a := g.relay.Serve(ctx, req)
+	if a.Outcome == forward.NotRun {
+		a.RetryAfter = max(a.RetryAfter, g.balancerDelay(time.Now()))
+	}
+	return a
 }
 
 // MaxBodyBytes implements Service.
@@ -127,15 +134,36 @@
 // serving reports whether this node can answer callers, by itself or through a
 // coordinator, and why not.
 func (g *Gateway) serving() (bool, string) {
+	why := g.whyNot()
+	if why == "" {
+		g.unservingSince.Store(0)
+		return true, ""
+	}
+	g.unservingSince.CompareAndSwap(0, time.Now().UnixNano())
+	return false, why
+}
+
+func (g *Gateway) whyNot() string {
 	switch {
 	case g.relay.Ready():
-		return true, ""
+		return ""
 	case g.directory.View() == nil:
-		return false, "no configuration is known, and no coordinator is in reach"
+		return "no configuration is known, and no coordinator is in reach"
 	case g.forwarder.Isolated():
-		return false, "no other data centre is in reach"
+		return "no other data centre is in reach"
+	}
+	return ""
+}
+
+// balancerDelay is how long the balancer may still send callers to this node although it
+// cannot answer them. Who comes back earlier is refused again, and many callers come back
+// only once.
+func (g *Gateway) balancerDelay(now time.Time) time.Duration {
+	since := g.unservingSince.Load()
+	if since == 0 {
+		return 0
 	}
-	return true, ""
+	return balancerNotices - now.Sub(time.Unix(0, since))
 }
 
 // NodeStatus implements admin.Status. It describes this node only.
