Never pass on a success that bears no signature

Cause: where a request may not be repeated, a reply that was not accepted was passed on as the replica's own failure, also when its status was a success. Ruled out: merged answers and idempotent requests, which ask elsewhere. Change: only replies of 300 and more are passed on as failures; the rest ends as 502.

--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -216,6 +216,13 @@
 		reply.Notes.Signature != "" && reply.Header.Get("Content-Encoding") == "" && !reply.Notes.NotRun
 }
 
+// passable reports whether a reply that is no success may be passed on as the replica's
+// own failure. A success without a signature is neither: its caller would take it for
+// one, and nobody knows whose answer it is.
+func passable(reply *backend.ForwardReply) bool {
+	return reply.Status >= http.StatusMultipleChoices && !reply.Notes.NotRun && !reply.Notes.OtherReplica
+}
+
 // take deals with the end of an attempt.
 func (q *run) take(e event) {
 	q.story[e.step].end(q.since(), e.reply)
@@ -229,7 +236,7 @@
 		}
 		return
 	}
-	if e.reply.Status != 0 && !e.reply.Notes.NotRun && !e.reply.Notes.OtherReplica {
+	if passable(e.reply) {
 		q.last = e.reply
 	}
 	reached := e.reply.Status != 0 && !e.reply.Notes.OtherReplica || e.reply.Evidence != pb.Evidence_EVIDENCE_NOT_RUN
