--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -52,7 +52,7 @@
 	switch {
 	case st == nil:
 		denied = deniedNoReplica
-	case extra && !s.mayRepeat(now, q.f.opts.Source.FleetSize(), q.spares(i, request)):
+	case extra && !s.mayRepeat(now, q.f.opts.Source.FleetSize(), request.Spare || q.query.Dispensable(i)):
 		denied = deniedNoBudget
 	}
 	if denied != "" {
@@ -127,13 +127,6 @@
 	return tried, tried && refused
 }
 
-// spares reports whether an extra attempt must leave the last part of the budget to others:
-// one that only makes an answer faster, one for a shard that can be done without, and all
-// of a route beside which a more urgent one asks the service.
-func (q *run) spares(i int, request upstream.Request) bool {
-	return request.Spare || q.query.Dispensable(i) || q.view.Index.Yields(q.route, q.names[i])
-}
-
 // mayRepeat takes one request out of the service's budget. s.mu is held.
 func (s *service) mayRepeat(now time.Time, size float64, spare bool) bool {
 	if spare {
--- a/policy/route/route.go
+++ b/policy/route/route.go
@@ -86,8 +86,6 @@
 	hosts    map[string][]*Route
 	names    map[string]bool
 	services map[string]*Service
-	// urgent is the priority of the most urgent route of a service.
-	urgent map[string]int
 }
 
 // NewIndex compiles a configuration, which must not be changed any more.
@@ -98,14 +96,12 @@
 		hosts:    make(map[string][]*Route),
 		names:    make(map[string]bool, len(c.Routes)),
 		services: make(map[string]*Service, len(c.Services)),
-		urgent:   make(map[string]int),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := normalHost(r.Host)
 		x.hosts[host] = append(x.hosts[host], r)
 		x.names[r.Name] = true
-		x.notePriority(r)
 	}
 	for _, routes := range x.hosts {
 		// Longest prefix first: the first one that begins a path is the match.
@@ -117,25 +113,6 @@
 	return x
 }
 
-func (x *Index) notePriority(r *Route) {
-	note := func(service string) {
-		if p, known := x.urgent[service]; !known || r.Priority < p {
-			x.urgent[service] = r.Priority
-		}
-	}
-	for _, service := range r.Shards {
-		note(service)
-	}
-	for _, part := range r.Split {
-		note(part.Service)
-	}
-}
-
-// Yields reports whether a more urgent route uses the service too.
-func (x *Index) Yields(r *Route, service string) bool {
-	return r.Priority > x.urgent[service]
-}
-
 // Match returns the route of a host and an undecoded path, or nil.
 func (x *Index) Match(host, path string) *Route {
 	for _, r := range x.hosts[normalHost(host)] {
--- a/policy/route/route_test.go
+++ b/policy/route/route_test.go
@@ -33,18 +33,6 @@
 	}
 }
 
-// Two routes ask the same shards. The less urgent one yields there, and nowhere else.
-func TestLessUrgentRouteYieldsWhereAnotherOneAsks(t *testing.T) {
-	c := qt.New(t)
-	results := route.Route{Name: "results", Host: "h", Prefix: "/r/", Shards: []string{"s0", "s1"}, Priority: 1}
-	lookup := route.Route{Name: "lookup", Host: "h", Prefix: "/l/", Shards: []string{"s0"}, Priority: 2}
-	status := route.Route{Name: "status", Host: "h", Prefix: "/s/", Split: []route.Weighted{{Service: "desk", Weight: 1}}, Priority: 2}
-	x := route.NewIndex(&route.Configuration{Version: 1, Routes: []route.Route{results, lookup, status}})
-	c.Assert(x.Yields(&results, "s0"), qt.IsFalse)
-	c.Assert(x.Yields(&lookup, "s0"), qt.IsTrue)
-	c.Assert(x.Yields(&status, "desk"), qt.IsFalse)
-}
-
 // Operators look at shares over some hundred requests, of all nodes together: each
 // node with few of them must be near its weights all the time.
 func TestSplitterIsNeverFarFromItsWeights(t *testing.T) {
