Send heartbeats to two coordinators, three times a second

A small node with two requests a second found its coordinator dead by a request, which waited 90 ms for the acknowledgement, and then the next one in the same way: p50 of all requests 92 ms between 32 and 34 s, 81 late. Ruled out: the replicas, which all ran. Change: heartbeats wait 0.3 s in place of 1 s, and go to the second choice too, so that both are known; coordinators that no heartbeat has reached lately come after those. Besides, the end of a coordinator's port no longer waits for senders without power until the end of the grace.

--- a/node/gateway/shutdown.go
+++ b/node/gateway/shutdown.go
@@ -14,6 +14,10 @@
 	closeAfter = 0.7
 	// killMargin is left between the end of the shutdown and the kill.
 	killMargin = 300 * time.Millisecond
+	// peerMargin is left after the end of the other nodes' port. Senders that lost power
+	// never close their connections, and waiting for them until killMargin left too
+	// little of the grace for the rest: two processes of a day were killed.
+	peerMargin = 300 * time.Millisecond
 )
 
 // shutdown ends the node without cutting a request. The balancer goes on sending
@@ -34,22 +38,24 @@
 	if err := g.callerServer.Shutdown(ctx); err != nil {
 		g.log.WithError(err).Warn("shutdown: callers were still waiting")
 	}
-	g.stopPeerServer(ctx)
+	g.stopPeerServer(end.Add(-peerMargin))
 	g.log.WithField("took_ms", time.Since(began).Milliseconds()).Info("shutdown: done")
 }
 
 // stopPeerServer ends the port of other nodes once the requests that they have sent here
-// are answered, or ctx ends. Heartbeats have told them to send no more.
-func (g *Gateway) stopPeerServer(ctx context.Context) {
+// are answered, or at the deadline. Heartbeats have told them to send no more.
+func (g *Gateway) stopPeerServer(deadline time.Time) {
 	done := make(chan struct{})
 	go func() {
 		g.peerServer.GracefulStop()
 		close(done)
 	}()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
 	select {
 	case <-done:
-	case <-ctx.Done():
-		g.log.Warn("shutdown: other nodes were still waiting")
+	case <-timer.C:
+		g.log.Info("shutdown: other nodes were still connected")
 		g.peerServer.Stop()
 		<-done
 	}
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -25,9 +25,14 @@
 	// lookAgain is how often it looks meanwhile.
 	lookAgain = 400 * time.Millisecond
 	// heartbeatWait is how long a heartbeat waits at the coordinator for news, and
-	// heartbeatSlack how much longer for its answer.
-	heartbeatWait  = time.Second
-	heartbeatSlack = 250 * time.Millisecond
+	// heartbeatSlack how much longer for its answer. A coordinator that lost its power
+	// is noticed after their sum, by a node that has two requests a second itself.
+	heartbeatWait  = 300 * time.Millisecond
+	heartbeatSlack = 200 * time.Millisecond
+	// inTouchWith is how many coordinators get heartbeats, best first: the second is
+	// known to be well when the first one dies. When half of a fleet lost its power, a
+	// request waited for the acknowledgements of up to three dead ones.
+	inTouchWith = 2
 	// trialTimeout bounds a heartbeat to a coordinator that was out of use.
 	trialTimeout = 250 * time.Millisecond
 	// trialEvery is how often is looked whether one is due while any is out of use;
@@ -60,10 +65,18 @@
 		r.settle(ctx)
 	}
 	go r.tend(ctx)
+	for rank := 1; rank < inTouchWith; rank++ {
+		go r.stayInTouch(ctx, rank)
+	}
+	r.stayInTouch(ctx, 0)
+}
+
+// stayInTouch sends heartbeats to the coordinator of a rank until ctx ends.
+func (r *Relay) stayInTouch(ctx context.Context, rank int) {
 	last := ""
 	for ctx.Err() == nil {
 		r.keep(r.opts.Follower.Fleet())
-		to, _, ok := r.pick(nil)
+		to, ok := r.ranked(rank)
 		if !ok {
 			pause(ctx, aloneEvery)
 			continue
@@ -78,6 +91,18 @@
 	}
 }
 
+// ranked returns the coordinator that would be the next choice after others were tried.
+func (r *Relay) ranked(rank int) (coordinator.Member, bool) {
+	tried := make(map[string]bool)
+	for {
+		to, _, ok := r.pick(tried)
+		if !ok || len(tried) == rank {
+			return to, ok
+		}
+		tried[to.Node] = true
+	}
+}
+
 // settle looks for coordinators for a while, and follows the store if there are none.
 func (r *Relay) settle(ctx context.Context) {
 	until := time.Now().Add(settleAfter)
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -36,9 +36,12 @@
 	staleDelay    = 0.2
 	isolatedDelay = 0.5
 	unheardDelay  = 1.0
+	// unprovenDelay keeps requests from coordinators that no heartbeat has reached lately
+	// while one has reached another.
+	unprovenDelay = 0.005
 	// heardFor is the age of an answered heartbeat up to which a coordinator counts as
-	// heard of. Heartbeats take a second.
-	heardFor = 3 * time.Second
+	// heard of. Heartbeats take 0.3 s.
+	heardFor = 1500 * time.Millisecond
 	// ackWeight of a new acknowledgement in a coordinator's expected delay.
 	ackWeight = 0.2
 	// spread keeps nodes from all choosing the same one of equal coordinators, and each
@@ -153,8 +156,12 @@
 			continue
 		}
 		cost := t.cost(p)
-		if isolated && !p.heardOf(now) {
+		switch {
+		case p.heardOf(now):
+		case isolated:
 			cost += unheardDelay
+		default:
+			cost += unprovenDelay
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = p, cost
