Carry bytes that are no UTF-8 between nodes

Found by reading: a caller's target and headers may hold any byte, but travelled to coordinators as text, which the encoding refuses. The request then counted as a coordinator's failure: one caller could take all of them out of use, one after the other. Change: they travel as bytes.

--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -17,10 +17,10 @@
 // encode makes the message of a request.
 func encode(req *forward.Request, leastVersion uint64) *pb.RelayRequest {
 	return &pb.RelayRequest{
-		RequestId:    req.ID,
-		Method:       req.Method,
-		Target:       req.Target,
-		Host:         req.Host,
+		RequestId:    []byte(req.ID),
+		Method:       []byte(req.Method),
+		Target:       []byte(req.Target),
+		Host:         []byte(req.Host),
 		Headers:      encodeHeader(req.Header),
 		Body:         req.Body,
 		ElapsedUs:    microseconds(time.Since(req.Arrived)),
@@ -32,13 +32,14 @@
 
 // decode reads the message of a request that arrived now.
 func decode(m *pb.RelayRequest, now time.Time) *forward.Request {
-	path, _, _ := strings.Cut(m.GetTarget(), "?")
+	target := string(m.GetTarget())
+	path, _, _ := strings.Cut(target, "?")
 	return &forward.Request{
-		ID:       m.GetRequestId(),
-		Method:   m.GetMethod(),
-		Target:   m.GetTarget(),
+		ID:       string(m.GetRequestId()),
+		Method:   string(m.GetMethod()),
+		Target:   target,
 		Path:     path,
-		Host:     m.GetHost(),
+		Host:     string(m.GetHost()),
 		Header:   decodeHeader(m.GetHeaders()),
 		Body:     m.GetBody(),
 		Arrived:  now.Add(-duration(m.GetElapsedUs())),
@@ -73,7 +74,7 @@
 		Status:       uint32(a.Status),
 		Headers:      encodeHeader(a.Header),
 		Body:         a.Body,
-		Signatures:   a.Signatures,
+		Signatures:   encodeStrings(a.Signatures),
 		Missing:      uint32(a.Missing),
 		RetryAfterUs: microseconds(a.RetryAfter),
 		Version:      a.Version,
@@ -86,7 +87,7 @@
 		Status:     int(m.GetStatus()),
 		Header:     decodeHeader(m.GetHeaders()),
 		Body:       m.GetBody(),
-		Signatures: m.GetSignatures(),
+		Signatures: decodeStrings(m.GetSignatures()),
 		Missing:    int(m.GetMissing()),
 		RetryAfter: duration(m.GetRetryAfterUs()),
 		Version:    m.GetVersion(),
@@ -96,7 +97,7 @@
 func encodeHeader(h http.Header) []*pb.Header {
 	list := make([]*pb.Header, 0, len(h))
 	for name, values := range h {
-		list = append(list, &pb.Header{Name: name, Values: values})
+		list = append(list, &pb.Header{Name: []byte(name), Values: encodeStrings(values)})
 	}
 	return list
 }
@@ -104,11 +105,27 @@
 func decodeHeader(list []*pb.Header) http.Header {
 	h := make(http.Header, len(list))
 	for _, item := range list {
-		h[item.GetName()] = item.GetValues()
+		h[string(item.GetName())] = decodeStrings(item.GetValues())
 	}
 	return h
 }
 
+func encodeStrings(list []string) [][]byte {
+	out := make([][]byte, 0, len(list))
+	for _, s := range list {
+		out = append(out, []byte(s))
+	}
+	return out
+}
+
+func decodeStrings(list [][]byte) []string {
+	out := make([]string, 0, len(list))
+	for _, s := range list {
+		out = append(out, string(s))
+	}
+	return out
+}
+
 func encodeFleet(f coordinator.Fleet) []*pb.FleetNode {
 	list := make([]*pb.FleetNode, 0, len(f.Members))
 	for _, m := range f.Members {
