Split a request's exchange with a coordinator from the choice of one

Cause: relay.go held both, and the timer of the acknowledgement set itself again through a variable that its own function read.

--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -5,11 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
-	"github.com/carobmill/carobmill/api/peerv1"
 	"github.com/carobmill/carobmill/node/forward"
 	"github.com/carobmill/carobmill/node/peer"
 	"github.com/carobmill/carobmill/node/telemetry"
@@ -17,18 +15,9 @@
 )
 
 const (
-	// ackTimeout bounds the wait for a coordinator's acknowledgement, opening the
-	// connection included. It takes a millisecond or two, and up to 80 where a VM's
-	// quota of processor time is used up for the rest of a tenth of a second.
-	ackTimeout = 90 * time.Millisecond
 	// maxTries bounds the coordinators that get a request, so that its caller hears soon
 	// where none of them answers.
 	maxTries = 3
-	// stoodStill is the lateness of a timer that tells that this process did not run.
-	stoodStill = 15 * time.Millisecond
-	// answerMargin is how much longer than its caller a request waits for the
-	// coordinator's answer, which ends in time by itself.
-	answerMargin = 300 * time.Millisecond
 	// defaultPatience stands in for callers that do not say how long they wait.
 	defaultPatience = 30 * time.Second
 	// coordinatorWait is how long a request waits for a coordinator when there is none
@@ -73,11 +62,6 @@
 	inFlight map[string]map[*call]bool
 }
 
-// call is a request at a coordinator.
-type call struct {
-	cancel context.CancelFunc
-}
-
 // New returns a relay that knows no coordinator yet.
 func New(o Options) *Relay {
 	return &Relay{
@@ -208,104 +192,6 @@
 	return defaultPatience
 }
 
-// exchanged is what came of sending a request to a coordinator.
-type exchanged struct {
-	// sent is set once any byte of the request was handed to the connection.
-	sent         bool
-	acknowledged bool
-	refusal      pb.RelayRefusal
-	answer       *forward.Answer
-}
-
-var errNoAcknowledgement = errors.New("no acknowledgement in time")
-
-// exchange sends a request to a coordinator and waits for its answer.
-func (r *Relay) exchange(ctx context.Context, to coordinator.Member, req *forward.Request) (result exchanged, err error) {
-	conn, err := r.opts.Pool.Connection(to.Address)
-	if err != nil {
-		return result, err
-	}
-	ctx, cancel := context.WithDeadline(ctx, req.Arrived.Add(patienceOf(req)+answerMargin))
-	defer cancel()
-	ctx, sent := peer.WithSent(ctx)
-	c := r.enter(to.Node, cancel)
-	defer r.leave(to.Node, c)
-	defer func() { result.sent = sent.Load() }()
-	began := time.Now()
-	unacknowledged := r.limitAck(began, cancel)
-	defer unacknowledged.Stop()
-	stream, err := peerv1.NewCoordinatorClient(conn).Relay(ctx, encode(req, r.leastVersion()))
-	if err != nil {
-		return result, err
-	}
-	for {
-		m, err := stream.Recv()
-		if err != nil {
-			if !result.acknowledged && time.Since(began) >= ackTimeout {
-				err = errNoAcknowledgement
-			}
-			return result, err
-		}
-		switch event := m.GetEvent().(type) {
-		case *pb.RelayResponse_Refusal:
-			result.refusal = event.Refusal
-			return result, nil
-		case *pb.RelayResponse_Acknowledged:
-			unacknowledged.Stop()
-			result.acknowledged = true
-			r.acknowledged(to.Node, time.Since(began))
-		case *pb.RelayResponse_Answer:
-			answer := decodeAnswer(event.Answer)
-			result.answer = &answer
-			return result, nil
-		}
-	}
-}
-
-// limitAck ends an exchange that is not acknowledged in time.
-//
-// Failure: this process stood still for the rest of its quota's period, and on waking
-// finds the time over although the acknowledgement lies in its socket. Symptom: a
-// coordinator that is well is left, and the request is sent again. A timer that fires
-// late is set once more; by then the acknowledgement has been read.
-func (r *Relay) limitAck(began time.Time, cancel context.CancelFunc) *time.Timer {
-	var timer *time.Timer
-	again := make(chan struct{}, 1)
-	again <- struct{}{}
-	timer = time.AfterFunc(ackTimeout, func() {
-		if time.Since(began) > ackTimeout+stoodStill {
-			select {
-			case <-again:
-				timer.Reset(ackTimeout / 2)
-				return
-			default:
-			}
-		}
-		cancel()
-	})
-	return timer
-}
-
-func (r *Relay) enter(node string, cancel context.CancelFunc) *call {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c := &call{cancel: cancel}
-	if r.inFlight[node] == nil {
-		r.inFlight[node] = make(map[*call]bool)
-	}
-	r.inFlight[node][c] = true
-	return c
-}
-
-func (r *Relay) leave(node string, c *call) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.inFlight[node], c)
-	if len(r.inFlight[node]) == 0 {
-		delete(r.inFlight, node)
-	}
-}
-
 func (r *Relay) acknowledged(node string, after time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -324,32 +210,6 @@
 	r.version = max(r.version, version)
 }
 
-// failed leaves a coordinator alone until a heartbeat reaches it. Its connection is
-// replaced: one that was forgotten on the way would swallow the heartbeats too.
-func (r *Relay) failed(to coordinator.Member, err error, refusal pb.RelayRefusal) {
-	r.mu.Lock()
-	first := r.table.Failed(time.Now(), to.Node)
-	r.mu.Unlock()
-	if err != nil {
-		r.opts.Pool.Replace(to.Address)
-	}
-	if first {
-		r.opts.Log.WithFields(logrus.Fields{
-			"coordinator": to.Node, "refusal": refusal.String(), logrus.ErrorKey: err,
-		}).Warn("a coordinator is out of use")
-	}
-}
-
-// abandon ends the requests that wait at a coordinator that is dead or cut off. They
-// would wait until their deadlines.
-func (r *Relay) abandon(node string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for c := range r.inFlight[node] {
-		c.cancel()
-	}
-}
-
 // local answers a request from this node, which learns a configuration first if it
 // knows none, or an older one than it has answered by.
 func (r *Relay) local(ctx context.Context, req *forward.Request) forward.Answer {
