Ask the store more often where others rely on a node and news is urgent

Found by reading: a coordinator whose connection to the store goes silent notices it after up to 4 s, and nodes that relay to it may reach the store all the while. Where a draining replica must be left within 3 s, their callers' requests would still reach it. Change: a node that others rely on waits for at most the bound less the time to notice and react.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -29,6 +29,14 @@
 	// so that the nodes do not return all at once.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// reaction is what is left of the time within which news has to take effect when a
+	// watch that waits is noticed to be silent: a pause before the watch, its slack, and
+	// half a second until the nodes that rely on this one have gone to others.
+	reaction = pace + watchSlack + 600*time.Millisecond
+	// minWait bounds a watch's wait from below.
+	minWait = 500 * time.Millisecond
+	// reliedFor is how long a node counts as relied on after another one's heartbeat.
+	reliedFor = 5 * time.Second
 	// staleAfter is how long the store may fail to answer before this node says that its
 	// news is old: a lost answer or two are made good within it.
 	staleAfter = 700 * time.Millisecond
@@ -45,6 +53,8 @@
 	// Node is this one, as it registers.
 	Node coordinator.Member
 	Log  logrus.FieldLogger
+	// NewsBound is the time within which news has to take effect; 0 for no bound.
+	NewsBound time.Duration
 	// Changed is called with each new view, one at a time; may be nil.
 	Changed func(*View)
 }
@@ -60,6 +70,9 @@
 	// unheardSince is the time in Unix nanoseconds of the store's last answer while calls
 	// to it fail; 0 while they do not.
 	unheardSince atomic.Int64
+	// reliedOn is when another node was last heard to rely on this one, in Unix
+	// nanoseconds; 0 for never.
+	reliedOn atomic.Int64
 	// hurry is signalled to end the pause between two watches.
 	hurry chan struct{}
 
@@ -111,6 +124,10 @@
 	return since != 0 && time.Now().UnixNano()-since > int64(staleAfter)
 }
 
+// RelyOn notes that another node relies on what this one knows. Its store may be in reach
+// when this one's has gone silent, and it must not miss news for that.
+func (d *Directory) RelyOn() { d.reliedOn.Store(time.Now().UnixNano()) }
+
 // Hurry asks the store at once instead of pausing between two watches, for a node that
 // has heard of a newer version.
 func (d *Directory) Hurry() {
@@ -269,6 +286,10 @@
 
 func (d *Directory) changes(ctx context.Context) (Page, error) {
 	wait := defaultWait
+	relied := time.Now().UnixNano()-d.reliedOn.Load() < int64(reliedFor)
+	if relied && d.opts.NewsBound > 0 {
+		wait = min(wait, max(d.opts.NewsBound-reaction, minWait))
+	}
 	if next := d.state.replicas.NextExpiry(); !next.IsZero() {
 		wait = min(wait, max(time.Until(next), pace))
 	}
--- a/node/directory/directory_test.go
+++ b/node/directory/directory_test.go
@@ -28,6 +28,8 @@
 	items    map[string]directory.Record
 	events   []directory.Record
 	away     bool
+	// silent makes watches wait without an end.
+	silent bool
 	// floor is the revision before which the history was dropped.
 	floor uint64
 	calls int
@@ -92,9 +94,12 @@
 				page.Records = append(page.Records, r)
 			}
 		}
-		away, compacted := s.away, after < s.floor
+		away, compacted, silent := s.away, after < s.floor, s.silent
 		s.mu.Unlock()
 		switch {
+		case silent:
+			<-ctx.Done()
+			return directory.Page{}, ctx.Err()
 		case away:
 			return directory.Page{}, errAway
 		case compacted:
@@ -141,12 +146,17 @@
 	return directory.Record{Area: directory.AreaReplicas, Name: id, Removed: true}
 }
 
+// newsBound is the time within which news has to take effect.
+const newsBound = 3 * time.Second
+
 // follow runs a directory over the fake for the time of the test.
 func follow(t *testing.T, s *storeFake) *directory.Directory {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d := directory.New(directory.Options{Store: s, Node: coordinator.Member{Node: "n1", Capacity: 1}, Log: log})
+	d := directory.New(directory.Options{
+		Store: s, Node: coordinator.Member{Node: "n1", Capacity: 1}, Log: log, NewsBound: newsBound,
+	})
 	d.Follow(true)
 	ctx, cancel := context.WithCancel(t.Context())
 	var done sync.WaitGroup
@@ -276,3 +286,30 @@
 		c.Assert(s.calls <= 3+34, qt.IsTrue, qt.Commentf("%d calls a minute", s.calls))
 	})
 }
+
+// The store's connection to a node goes silent. Nodes that relay to it reach the store
+// themselves, so that news must take effect for their callers within the bound: the node
+// says that its news is old soon enough for them to go to others.
+func TestSilentStoreIsNoticedInsideTheBoundWhereOthersRely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newStoreFake()
+		s.put(configuration(1))
+		d := follow(t, s)
+		for range 50 {
+			d.RelyOn()
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.Assert(d.Stale(), qt.IsFalse)
+		// The watch has just answered, so that the next one waits for all of its time.
+		s.put(configuration(2))
+		time.Sleep(20 * time.Millisecond)
+		s.set(func() { s.silent = true })
+		noticed := time.Duration(0)
+		for began := time.Now(); !d.Stale(); noticed = time.Since(began) {
+			d.RelyOn()
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Assert(noticed <= newsBound-500*time.Millisecond, qt.IsTrue, qt.Commentf("after %s", noticed))
+	})
+}
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -61,7 +61,11 @@
 		Capacity:   settings.GetForwarding().GetCapacity(),
 	}
 	g.directory = directory.New(directory.Options{
-		Store: adapter.Store(), Node: own, Log: g.log, Changed: g.changed,
+		Store:     adapter.Store(),
+		Node:      own,
+		Log:       g.log,
+		NewsBound: time.Duration(settings.GetForwarding().GetNewsBoundMs()) * time.Millisecond,
+		Changed:   g.changed,
 	})
 	g.buildForwarder(adapter.Dialect())
 	g.buildRelay(own, credentials)
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -82,6 +82,8 @@
 	return n.stale
 }
 
+func (n *node) RelyOn() {}
+
 func (n *node) Hurry() { n.set(func() { n.hurried++ }) }
 
 func (n *node) Isolated() bool {
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -37,6 +37,8 @@
 	Synced() bool
 	// Hurry asks for news at once.
 	Hurry()
+	// RelyOn notes that another node relies on this one.
+	RelyOn()
 	// Stale reports whether the store has not answered for a while.
 	Stale() bool
 }
@@ -121,6 +123,7 @@
 
 // Heartbeat implements peerv1.CoordinatorServer.
 func (s *Server) Heartbeat(ctx context.Context, m *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	s.opts.Follower.RelyOn()
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait))
 	defer cancel()
 	now := s.state()
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -33,7 +33,8 @@
 	DefaultExtraWindowS = 10
 	DefaultGraceS       = 30
 	// DefaultCapacity in cores makes all nodes equal, so that none relays to another.
-	DefaultCapacity = 1
+	DefaultCapacity    = 1
+	DefaultNewsBoundMs = 5000
 )
 
 // Load reads and checks the settings in a file. Without faults the settings
@@ -119,6 +120,7 @@
 	if f.Capacity == 0 {
 		f.Capacity = DefaultCapacity
 	}
+	f.NewsBoundMs = orDefault(f.NewsBoundMs, DefaultNewsBoundMs)
 }
 
 func orDefault(value, fallback uint32) uint32 {
