--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -22,11 +22,11 @@
 	defaultPatience = 30 * time.Second
 	// coordinatorWait is how long a request waits for a coordinator when there is none
 	// in use: one that restarts takes 100 ms to read the store.
-	coordinatorWait = 150 * time.Millisecond
+	coordinatorWait = 300 * time.Millisecond
 	// localWait is how long a request waits for this node to learn a configuration
 	// when no coordinator takes it: reading the store takes four calls of 4 ms, and
 	// decoding 20 ms on the smallest VM.
-	localWait = 150 * time.Millisecond
+	localWait = 400 * time.Millisecond
 	// localRetryAfter is when a request that waited for that in vain may come back.
 	localRetryAfter = 500 * time.Millisecond
 )
