Refuse at once what has nobody to wait for

Change: requests wait only within 1.5 s of the last sign of a coordinator, or of the moment at which the node began to follow the store; later ones are refused at once.

--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -59,8 +59,11 @@
 
 // Run finds coordinators and keeps in touch with them until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
+	r.mu.Lock()
+	r.started = time.Now()
+	r.mu.Unlock()
 	if r.opts.Own.Capacity >= ample {
-		r.opts.Follow(true)
+		r.follow(true)
 	} else {
 		r.settle(ctx)
 	}
@@ -113,7 +116,7 @@
 		}
 		pause(ctx, lookAgain/2+rand.N(lookAgain))
 	}
-	r.opts.Follow(true)
+	r.follow(true)
 }
 
 func (r *Relay) keep(f coordinator.Fleet) {
@@ -220,7 +223,7 @@
 	lasted := now.Sub(last.since)
 	switch {
 	case last.connected && lasted >= restAfter && !r.opts.Leaving():
-		r.opts.Follow(false)
+		r.follow(false)
 	case last.connected || lasted < followAfter || now.Sub(last.probed) < probeEvery || r.opts.Follower.Synced():
 	default:
 		last.probed = now
@@ -230,7 +233,7 @@
 		}
 		last.answers++
 		if last.answers >= probesInARow {
-			r.opts.Follow(true)
+			r.follow(true)
 		}
 	}
 }
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -23,6 +23,10 @@
 	// coordinatorWait is how long a request waits for a coordinator when there is none
 	// in use: one that restarts takes 100 ms to read the store.
 	coordinatorWait = 300 * time.Millisecond
+	// hopeFor is how long after the last sign of a coordinator, or after this node began
+	// to follow the store, requests wait for either. Later they are refused at once: each
+	// would wait in vain, and its caller could be served elsewhere.
+	hopeFor = 1500 * time.Millisecond
 	// localWait is how long a request waits for this node to learn a configuration
 	// when no coordinator takes it: reading the store takes four calls of 4 ms, and
 	// decoding 20 ms on the smallest VM.
@@ -55,6 +59,9 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	table *coordinator.Table
+	// started is when Run began; followSince when this node began to follow the store,
+	// zero while it does not.
+	started, followSince time.Time
 	// version is the newest configuration version that an answer was given by. A
 	// later request must not be answered by an older one.
 	version uint64
@@ -99,7 +106,7 @@
 	until := time.Now().Add(min(coordinatorWait, patienceOf(req)/4))
 	for {
 		to, condition, ok := r.pick(tried)
-		if ok || r.knows() || r.alone() || ctx.Err() != nil || time.Now().After(until) {
+		if ok || r.knows() || !r.mayReturn() || ctx.Err() != nil || time.Now().After(until) {
 			return to, condition, ok
 		}
 		pause(ctx, lookEvery)
@@ -109,11 +116,36 @@
 // knows reports whether this node knows a configuration by itself.
 func (r *Relay) knows() bool { return r.opts.Follower.View() != nil }
 
-// alone reports whether there are no coordinators to wait for.
-func (r *Relay) alone() bool {
+// mayReturn reports whether a coordinator is worth waiting for: there are some, and one
+// was heard of, or this node was started, a short while ago.
+func (r *Relay) mayReturn() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.Empty()
+	last := r.table.LastHeard()
+	if last.Before(r.started) {
+		last = r.started
+	}
+	return !r.table.Empty() && time.Since(last) < hopeFor
+}
+
+// follow makes this node follow the store by itself, or stop it.
+func (r *Relay) follow(on bool) {
+	r.mu.Lock()
+	if on && r.followSince.IsZero() {
+		r.followSince = time.Now()
+	}
+	if !on {
+		r.followSince = time.Time{}
+	}
+	r.mu.Unlock()
+	r.opts.Follow(on)
+}
+
+// mayLearn reports whether a configuration is worth waiting for.
+func (r *Relay) mayLearn() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.followSince) < hopeFor
 }
 
 // current reports whether this node follows the store by itself and has new news.
@@ -213,7 +245,7 @@
 // local answers a request from this node, which learns a configuration first if it
 // knows none, or an older one than it has answered by.
 func (r *Relay) local(ctx context.Context, req *forward.Request) forward.Answer {
-	r.opts.Follow(true)
+	r.follow(true)
 	least := r.leastVersion()
 	until := time.Now().Add(min(localWait, patienceOf(req)/2))
 	for {
@@ -224,7 +256,7 @@
 		if ctx.Err() != nil {
 			return forward.Answer{Outcome: forward.Late}
 		}
-		if time.Now().After(until) {
+		if time.Now().After(until) || v == nil && !r.mayLearn() {
 			return r.refuse(req)
 		}
 		pause(ctx, lookEvery)
@@ -242,6 +274,7 @@
 	if r.lines.Take(time.Now(), true) {
 		r.opts.Log.WithFields(logrus.Fields{
 			"request": req.ID, "outcome": outcome.String(), "retry_after_ms": localRetryAfter.Milliseconds(),
+			"took_ms": time.Since(req.Arrived).Milliseconds(),
 		}).Info("no coordinator takes the request, and this node cannot answer it")
 	}
 	return forward.Answer{Outcome: outcome, RetryAfter: localRetryAfter}
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -437,6 +437,26 @@
 	})
 }
 
+// A small node is cut off from all others and from the store, and callers still come. The
+// first ones wait for a coordinator to come back; when none has for seconds, the others are
+// refused at once, so that they can be served elsewhere.
+func TestCutOffNodeRefusesAtOnceAfterAWhile(t *testing.T) {
+	run(t, func(w *world) {
+		w.small.set(func() { w.small.version = 0 })
+		w.network.Cut(w.small.host, w.big[0].host)
+		w.network.Cut(w.small.host, w.big[1].host)
+		w.storeAway.Store(true)
+		took := func() time.Duration {
+			began := time.Now()
+			w.Assert(w.ask("POST").Outcome, qt.Not(qt.Equals), forward.Passed)
+			return time.Since(began)
+		}
+		w.Assert(took() > 200*time.Millisecond, qt.IsTrue)
+		time.Sleep(4 * time.Second)
+		w.Assert(took() < 20*time.Millisecond, qt.IsTrue)
+	})
+}
+
 // A caller leaves. The coordinator's work for it ends at once.
 func TestCallerWhoLeavesFreesTheCoordinator(t *testing.T) {
 	run(t, func(w *world) {
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -263,6 +263,17 @@
 	return first
 }
 
+// LastHeard returns when a heartbeat was answered last, by any coordinator.
+func (t *Table) LastHeard() time.Time {
+	var last time.Time
+	for _, p := range t.peers {
+		if p.heard.After(last) {
+			last = p.heard
+		}
+	}
+	return last
+}
+
 // Connection is how a node stands with its coordinators.
 type Connection struct {
 	// Current: one was heard of whose news is new and that is not isolated.
