Let a coordinator begin only when its sender says so

The look whether the sender is still there came before the cancellation was read. Ruled out: hedges, and retries of one coordinator, which count their replicas. Change: the coordinator offers to take a request and begins when it is told to, one way there and back inside a data centre later. Who was not told has not run the request, so that it goes to another coordinator as new: repeats, their mark and the budget for them go from the forwarder, and requests that may run only once are not lost with a silent coordinator any more.

--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -45,7 +45,7 @@
 func (q *run) reserveBy(i int, request upstream.Request) bool {
 	s := q.services[i]
 	now := time.Now()
-	extra := q.attempts(i) > 0 || q.req.Repeat
+	extra := q.attempts(i) > 0
 	s.mu.Lock()
 	st := s.set.Pick(now, request)
 	denied := ""
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -37,10 +37,6 @@
 	// caller waits from then on; 0 when the caller did not say.
 	Arrived  time.Time
 	Patience time.Duration
-	// Repeat is set when another node may have begun with the request. Only an
-	// idempotent one is sent then, out of the budget for extra requests, and it is
-	// never said not to have run.
-	Repeat bool
 }
 
 // Outcome is how a request ended.
@@ -237,10 +233,6 @@
 		return f.refuse(req, "no configuration is known yet", startRetryAfter)
 	}
 	r := view.Index.Match(req.Host, req.Path)
-	if req.Repeat && (r == nil || !r.Idempotent) {
-		// It may be running, and nobody will tell.
-		return Answer{Outcome: Failed, Version: view.Index.Version}
-	}
 	if r == nil {
 		f.opts.Log.WithFields(logrus.Fields{
 			"request": req.ID, "version": view.Index.Version, "outcome": NoRoute.String(),
@@ -267,8 +259,5 @@
 			"request": req.ID, "outcome": NotRun.String(), "retry_after_ms": after.Milliseconds(),
 		}).Info(why)
 	}
-	if req.Repeat {
-		return Answer{Outcome: Failed}
-	}
 	return Answer{Outcome: NotRun, RetryAfter: after}
 }
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -45,7 +45,7 @@
 	deadline   time.Time
 	parts      []backend.ForwardReply
 	events     *work.Inbox[event]
-	// ran is set once an attempt may have run at a replica, also from another node.
+	// ran is set once an attempt may have run at a replica.
 	ran bool
 	// last is the newest failure that a replica answered with, if any.
 	last  *backend.ForwardReply
@@ -65,7 +65,7 @@
 }
 
 func newRun(f *Forwarder, view *directory.View, r *route.Route, c *class, req *Request) *run {
-	q := &run{f: f, view: view, route: r, class: c, req: req, names: c.targets(r), outOfReach: f.reach.out(), ran: req.Repeat}
+	q := &run{f: f, view: view, route: r, class: c, req: req, names: c.targets(r), outOfReach: f.reach.out()}
 	n := len(q.names)
 	patience := defaultPatience
 	if req.Patience > 0 {
@@ -80,10 +80,6 @@
 		minCoverage = r.MinCoverage
 	}
 	attempts := max(r.MaxAttempts, 1)
-	if req.Repeat {
-		// The other node's attempts count too.
-		attempts = max(attempts-1, 1)
-	}
 	q.query = gather.New(gather.Params{
 		Shards:      n,
 		MaxAttempts: attempts,
@@ -113,9 +109,7 @@
 		s := q.f.service(name)
 		q.services[i] = s
 		s.mu.Lock()
-		if !q.req.Repeat {
-			s.budget.Request(now)
-		}
+		s.budget.Request(now)
 		s.mu.Unlock()
 		if !q.reserve(i, false) {
 			q.query.GiveUp(i)
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return failed
 	}
-	ctx, sent := WithSent(ctx)
+	ctx, sent := withSent(ctx)
 	req.Envelope = c.envelopes.Envelope()
 	resp, err := stub.Execute(ctx, req)
 	if err == nil {
--- a/node/peer/pool.go
+++ b/node/peer/pool.go
@@ -159,15 +159,15 @@
 
 type sentKey struct{}
 
-// WithSent returns a context for one call and the flag that tells whether its
+// withSent returns a context for one call and the flag that tells whether its
 // first bytes were handed to a connection. While the flag is unset the peer
 // cannot have seen the call.
-func WithSent(ctx context.Context) (context.Context, *atomic.Bool) {
+func withSent(ctx context.Context) (context.Context, *atomic.Bool) {
 	sent := &atomic.Bool{}
 	return context.WithValue(ctx, sentKey{}, sent), sent
 }
 
-// sentHandler sets the flag of WithSent.
+// sentHandler sets the flag of withSent.
 type sentHandler struct{}
 
 func (sentHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
--- a/node/peer/scatterclient.go
+++ b/node/peer/scatterclient.go
@@ -97,7 +97,7 @@
 func (c *Client) Scatter(ctx context.Context, to fleet.Member, req *pb.ScatterRequest, receive func(*pb.ScatterResponse)) ([]*pb.SubrequestResult, error) {
 	under := newCall(req.GetSubrequests())
 	c.shorten(to, req, under.subs)
-	ctx, sent := WithSent(ctx)
+	ctx, sent := withSent(ctx)
 	err := c.scatter(ctx, to, req, func(resp *pb.ScatterResponse) error {
 		if resp.GetReadsBrief() {
 			c.readers.note(membership.ID{Name: resp.GetEnvelope().GetSender(), Boot: resp.GetEnvelope().GetBoot()})
--- a/node/relay/exchange.go
+++ b/node/relay/exchange.go
@@ -11,15 +11,14 @@
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/api/peerv1"
 	"github.com/carobmill/carobmill/node/forward"
-	"github.com/carobmill/carobmill/node/peer"
 	"github.com/carobmill/carobmill/policy/coordinator"
 )
 
 const (
-	// ackTimeout bounds the wait for a coordinator's acknowledgement, opening the
+	// offerTimeout bounds the wait for a coordinator's offer, opening the
 	// connection included. It takes a millisecond or two, and up to 80 where a VM's
 	// quota of processor time is used up for the rest of a tenth of a second.
-	ackTimeout = 90 * time.Millisecond
+	offerTimeout = 90 * time.Millisecond
 	// stoodStill is the lateness of a timer that tells that this process did not run.
 	stoodStill = 15 * time.Millisecond
 	// answerMargin is how much longer than its caller a request waits for the
@@ -34,16 +33,16 @@
 
 // exchanged is what came of sending a request to a coordinator.
 type exchanged struct {
-	// sent is set once any byte of the request was handed to the connection.
-	sent         bool
-	acknowledged bool
-	refusal      pb.RelayRefusal
-	answer       *forward.Answer
+	// begun is set before the coordinator is told to begin: until then it has not run
+	// and will not.
+	begun   bool
+	refusal pb.RelayRefusal
+	answer  *forward.Answer
 }
 
-var errNoAcknowledgement = errors.New("no acknowledgement in time")
+var errNoOffer = errors.New("no offer in time")
 
-// exchange sends a request to a coordinator and waits for its answer.
+// exchange offers a request to a coordinator, tells it to begin, and waits for its answer.
 func (r *Relay) exchange(ctx context.Context, to coordinator.Member, req *forward.Request) (result exchanged, err error) {
 	conn, err := r.opts.Pool.Connection(to.Address)
 	if err != nil {
@@ -51,23 +50,24 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Arrived.Add(patienceOf(req)+answerMargin))
 	defer cancel()
-	ctx, sent := peer.WithSent(ctx)
 	c := r.enter(to.Node, cancel)
 	defer r.leave(to.Node, c)
-	defer func() { result.sent = sent.Load() }()
 	began := time.Now()
-	var acknowledged atomic.Bool
-	timer := limitAck(began, &acknowledged, cancel)
+	var offered atomic.Bool
+	timer := limitOffer(began, &offered, cancel)
 	defer timer.Stop()
-	stream, err := peerv1.NewCoordinatorClient(conn).Relay(ctx, encode(req, r.leastVersion()))
+	stream, err := peerv1.NewCoordinatorClient(conn).Relay(ctx)
 	if err != nil {
 		return result, err
 	}
+	if err := stream.Send(encode(req, r.leastVersion())); err != nil {
+		return result, err
+	}
 	for {
 		m, err := stream.Recv()
 		if err != nil {
-			if !result.acknowledged && time.Since(began) >= ackTimeout {
-				err = errNoAcknowledgement
+			if !result.begun && time.Since(began) >= offerTimeout {
+				err = errNoOffer
 			}
 			return result, err
 		}
@@ -75,10 +75,13 @@
 		case *pb.RelayResponse_Refusal:
 			result.refusal = event.Refusal
 			return result, nil
-		case *pb.RelayResponse_Acknowledged:
-			acknowledged.Store(true)
-			result.acknowledged = true
-			r.acknowledged(to.Node, time.Since(began))
+		case *pb.RelayResponse_Offer:
+			offered.Store(true)
+			r.offered(to.Node, time.Since(began))
+			result.begun = true
+			if err := stream.Send(begin()); err != nil {
+				return result, err
+			}
 		case *pb.RelayResponse_Answer:
 			answer := decodeAnswer(event.Answer)
 			result.answer = &answer
@@ -87,18 +90,18 @@
 	}
 }
 
-// limitAck ends an exchange that is not acknowledged in time.
+// limitOffer ends an exchange that gets no offer in time.
 //
 // Failure: this process stood still for the rest of its quota's period, and on waking
-// finds the time over although the acknowledgement lies in its socket. Symptom: a
-// coordinator that is well is left, and the request is sent again. When the timer comes
-// late, there is some more time; by then the acknowledgement has been read.
-func limitAck(began time.Time, acknowledged *atomic.Bool, cancel context.CancelFunc) *time.Timer {
-	return time.AfterFunc(ackTimeout, func() {
-		if time.Since(began) > ackTimeout+stoodStill {
-			time.Sleep(ackTimeout / 2)
+// finds the time over although the offer lies in its socket. Symptom: a coordinator that
+// is well is left. When the timer comes late, there is some more time; by then the offer
+// has been read.
+func limitOffer(began time.Time, offered *atomic.Bool, cancel context.CancelFunc) *time.Timer {
+	return time.AfterFunc(offerTimeout, func() {
+		if time.Since(began) > offerTimeout+stoodStill {
+			time.Sleep(offerTimeout / 2)
 		}
-		if !acknowledged.Load() {
+		if !offered.Load() {
 			cancel()
 		}
 	})
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -157,8 +157,8 @@
 	return r.table.Pick(time.Now(), tried)
 }
 
-// send sends a request to a coordinator. done is false when another one should get it;
-// req says then whether this one may have begun.
+// send sends a request to a coordinator. done is false when another one should get it:
+// this one has not run it then, and will not.
 func (r *Relay) send(ctx context.Context, to coordinator.Member, req *forward.Request) (answer forward.Answer, done bool) {
 	began := time.Now()
 	result, err := r.exchange(ctx, to, req)
@@ -170,17 +170,14 @@
 		return forward.Answer{Outcome: forward.Late}, true
 	case err == nil && result.refusal == pb.RelayRefusal_RELAY_REFUSAL_BEHIND:
 		// It will know in a moment; others may know already.
-	case err == nil && result.refusal == pb.RelayRefusal_RELAY_REFUSAL_ISOLATED && !req.Repeat:
+	case err == nil && result.refusal == pb.RelayRefusal_RELAY_REFUSAL_ISOLATED:
 		// This node's data centre is cut off, most likely: whoever comes back to
 		// another node is served sooner than this one could find out.
 		return r.refuse(req), true
 	default:
 		r.failed(to, err, result.refusal)
 	}
-	if result.sent && result.refusal == 0 {
-		req.Repeat = true
-	}
-	if result.acknowledged && result.refusal == 0 {
+	if result.begun && result.refusal == 0 {
 		// Its replicas may have been asked, hedges included; another coordinator's
 		// would be more than the route allows. The caller may ask anew.
 		r.logLost(to, req)
@@ -188,13 +185,9 @@
 	}
 	if r.lines.Take(time.Now(), true) {
 		r.opts.Log.WithFields(logrus.Fields{
-			"request": req.ID, "coordinator": to.Node,
-			"refusal": result.refusal.String(), "may_have_begun": req.Repeat,
+			"request": req.ID, "coordinator": to.Node, "refusal": result.refusal.String(),
 			"took_ms": time.Since(began).Milliseconds(), logrus.ErrorKey: err,
-		}).Info("a coordinator did not answer: another one gets the request")
-	}
-	if time.Since(req.Arrived) >= patienceOf(req) {
-		return forward.Answer{Outcome: unanswered(req)}, true
+		}).Info("a coordinator did not take the request: another one gets it")
 	}
 	return forward.Answer{}, false
 }
@@ -209,14 +202,6 @@
 	}
 }
 
-// unanswered is the outcome of a request whose time is over.
-func unanswered(req *forward.Request) forward.Outcome {
-	if req.Repeat {
-		return forward.Late
-	}
-	return forward.NotRun
-}
-
 func patienceOf(req *forward.Request) time.Duration {
 	if req.Patience > 0 {
 		return req.Patience
@@ -224,10 +209,10 @@
 	return defaultPatience
 }
 
-func (r *Relay) acknowledged(node string, after time.Duration) {
+func (r *Relay) offered(node string, after time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.Acknowledged(node, after)
+	r.table.Offered(node, after)
 }
 
 func (r *Relay) leastVersion() uint64 {
@@ -266,16 +251,13 @@
 	return answer
 }
 
+// refuse answers a request that nobody has run.
 func (r *Relay) refuse(req *forward.Request) forward.Answer {
-	outcome := forward.NotRun
-	if req.Repeat {
-		outcome = forward.Failed
-	}
 	if r.lines.Take(time.Now(), true) {
 		r.opts.Log.WithFields(logrus.Fields{
-			"request": req.ID, "outcome": outcome.String(), "retry_after_ms": localRetryAfter.Milliseconds(),
+			"request": req.ID, "outcome": forward.NotRun.String(), "retry_after_ms": localRetryAfter.Milliseconds(),
 			"took_ms": time.Since(req.Arrived).Milliseconds(),
 		}).Info("no coordinator takes the request, and this node cannot answer it")
 	}
-	return forward.Answer{Outcome: outcome, RetryAfter: localRetryAfter}
+	return forward.Answer{Outcome: forward.NotRun, RetryAfter: localRetryAfter}
 }
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/api/peerv1"
@@ -17,8 +19,8 @@
 
 const (
 	// catchUp is how long a coordinator waits for a configuration that the sender has
-	// seen already, which is part of the sender's wait for its acknowledgement. A call
-	// to the store takes 4 ms.
+	// seen already, which is part of the sender's wait for its offer. A call to the
+	// store takes 4 ms.
 	catchUp = 50 * time.Millisecond
 	// lookEvery is how often it looks whether something has changed.
 	lookEvery = 10 * time.Millisecond
@@ -77,19 +79,30 @@
 }
 
 // Relay implements peerv1.CoordinatorServer.
-func (s *Server) Relay(m *pb.RelayRequest, stream grpc.ServerStreamingServer[pb.RelayResponse]) error {
+//
+// Failure: a coordinator stands still for a while, with a request in its socket that its
+// sender gives to another one meanwhile. Symptom: on waking it runs the request as well,
+// and it reaches more replicas of a shard than its route allows; 18 requests of a day.
+// It begins only when the sender says so after its offer, which costs a way there and
+// back inside a data centre, 0.4 ms.
+func (s *Server) Relay(stream grpc.BidiStreamingServer[pb.RelayMessage, pb.RelayResponse]) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
 	now := time.Now()
+	m := first.GetRequest()
+	if m == nil {
+		return status.Error(codes.InvalidArgument, "the first message holds no request")
+	}
 	if refusal := s.refuse(stream.Context(), m.GetLeastVersion()); refusal != 0 {
 		return stream.Send(refused(refusal))
 	}
-	if stream.Context().Err() != nil {
-		// Its sender has given it to another coordinator. To begin with it now would
-		// bring it to more replicas than its route allows.
-		return stream.Context().Err()
+	if err := stream.Send(&pb.RelayResponse{Event: &pb.RelayResponse_Offer{Offer: true}}); err != nil {
+		return err
 	}
-	// Sent before the request begins, so that a sender without it knows of a
-	// coordinator that is gone long before the deadline.
-	if err := stream.Send(&pb.RelayResponse{Event: &pb.RelayResponse_Acknowledged{Acknowledged: true}}); err != nil {
+	// An error here means that the sender has gone, or given the request to another one.
+	if word, err := stream.Recv(); err != nil || !word.GetBegin() {
 		return err
 	}
 	answer := s.opts.Local.Serve(stream.Context(), decode(m, now))
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -15,8 +15,8 @@
 )
 
 // encode makes the message of a request.
-func encode(req *forward.Request, leastVersion uint64) *pb.RelayRequest {
-	return &pb.RelayRequest{
+func encode(req *forward.Request, leastVersion uint64) *pb.RelayMessage {
+	return &pb.RelayMessage{Event: &pb.RelayMessage_Request{Request: &pb.RelayRequest{
 		RequestId:    []byte(req.ID),
 		Method:       []byte(req.Method),
 		Target:       []byte(req.Target),
@@ -25,11 +25,13 @@
 		Body:         req.Body,
 		ElapsedUs:    microseconds(time.Since(req.Arrived)),
 		PatienceUs:   microseconds(req.Patience),
-		Repeat:       req.Repeat,
 		LeastVersion: leastVersion,
-	}
+	}}}
 }
 
+// begin makes the word to begin.
+func begin() *pb.RelayMessage { return &pb.RelayMessage{Event: &pb.RelayMessage_Begin{Begin: true}} }
+
 // decode reads the message of a request that arrived now.
 func decode(m *pb.RelayRequest, now time.Time) *forward.Request {
 	target := string(m.GetTarget())
@@ -44,7 +46,6 @@
 		Body:     m.GetBody(),
 		Arrived:  now.Add(-duration(m.GetElapsedUs())),
 		Patience: duration(m.GetPatienceUs()),
-		Repeat:   m.GetRepeat(),
 	}
 }
 
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -26,9 +26,9 @@
 	// awayDelay is what a coordinator in another data centre costs in addition: 0.5 ms
 	// each way, in seconds.
 	awayDelay = 0.001
-	// usualAck is the time to an acknowledgement up to which coordinators count as equal,
-	// so that a node stays with the one that it uses.
-	usualAck = 3 * time.Millisecond
+	// usualOffer is the time to an offer up to which coordinators count as equal, so that
+	// a node stays with the one that it uses.
+	usualOffer = 3 * time.Millisecond
 	// staleDelay and isolatedDelay keep requests from coordinators whose news is old, or
 	// that reach no other data centre, while any other can be used, in seconds. When
 	// all of a data centre's are isolated, those elsewhere are most likely out of reach,
@@ -42,8 +42,8 @@
 	// heardFor is the age of an answered heartbeat up to which a coordinator counts as
 	// heard of. Heartbeats take 0.3 s.
 	heardFor = 1500 * time.Millisecond
-	// ackWeight of a new acknowledgement in a coordinator's expected delay.
-	ackWeight = 0.2
+	// offerWeight of a new offer in a coordinator's expected delay.
+	offerWeight = 0.2
 	// spread keeps nodes from all choosing the same one of equal coordinators, and each
 	// with its own: a share of the cost, which stays below awayDelay.
 	spread = 0.1
@@ -74,7 +74,7 @@
 // peer is what is known of one coordinator.
 type peer struct {
 	member Member
-	ack    time.Duration
+	offer  time.Duration
 	// streak is the failures in a row; a coordinator with any gets no request until a
 	// heartbeat has reached it.
 	streak     int
@@ -188,7 +188,7 @@
 }
 
 func (t *Table) cost(p *peer) float64 {
-	cost := gatherWork/p.member.Capacity + max(p.ack, usualAck).Seconds()
+	cost := gatherWork/p.member.Capacity + max(p.offer, usualOffer).Seconds()
 	if p.member.DataCentre != t.own.DataCentre {
 		cost += awayDelay
 	}
@@ -230,10 +230,10 @@
 	return due.member, true
 }
 
-// Acknowledged notes that a coordinator began with a request after that time.
-func (t *Table) Acknowledged(node string, after time.Duration) {
+// Offered notes that a coordinator offered to take a request after that time.
+func (t *Table) Offered(node string, after time.Duration) {
 	if p := t.peers[node]; p != nil {
-		p.ack += time.Duration(ackWeight * float64(after-p.ack))
+		p.offer += time.Duration(offerWeight * float64(after-p.offer))
 	}
 }
 
