--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -31,7 +31,7 @@
 	heartbeatSlack = 200 * time.Millisecond
 	// inTouchWith is how many coordinators get heartbeats, best first: the second is
 	// known to be well when the first one dies. When half of a fleet lost its power, a
-	// request waited for the acknowledgements of up to three dead ones.
+	// request waited for the offers of up to three dead ones.
 	inTouchWith = 2
 	// trialTimeout bounds a heartbeat to a coordinator that was out of use.
 	trialTimeout = 250 * time.Millisecond
