--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// ample capacity in cores, from which a node follows the store from its start on. A
-	// quarter of a core bears the gathers of a fleet of ninety nodes: 112 a second over
-	// 36 shards at 60 us a shard.
-	ample = 0.25
 	// settleAfter is how long a smaller node looks for coordinators after its start
 	// before it follows the store by itself: larger VMs register within half a second.
 	settleAfter = 1500 * time.Millisecond
@@ -47,9 +43,8 @@
 	followAfter = time.Second
 	probeEvery  = time.Second
 	// probesInARow is how many answers it wants: coordinators ask a store that was away
-	// again after up to 1.2 s. When the store was away from all and is
-	// back, small nodes hear of it as soon as the coordinators whose news was old do:
-	// with one answer forty of 79 read the whole store and registered, 1,200 calls.
+	// again after up to 1.2 s, and small nodes hear of its return as soon as they do. With
+	// one answer forty of 79 read the whole store then and registered, 1,200 calls.
 	probesInARow = 3
 	// restAfter is how long it has to be connected before it stops following the store
 	// by itself, so that a coordinator that comes and goes does not make it read the
@@ -62,7 +57,7 @@
 	r.mu.Lock()
 	r.started = time.Now()
 	r.mu.Unlock()
-	if r.opts.Own.Capacity >= ample {
+	if r.opts.Own.Ample() {
 		r.follow(true)
 	} else {
 		r.settle(ctx)
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -20,6 +20,10 @@
 	// relayed request costs its sender a third of a small gather; to relay to an equal
 	// gains nothing.
 	advantage = 2
+	// ample capacity in cores, from which a node follows the store from its start on. A
+	// quarter of a core bears the gathers of a fleet of ninety nodes: 112 a second over
+	// 36 shards at 60 us a shard.
+	ample = 0.25
 	// gatherWork is the processor time of a gather over 36 shards, 60 us a shard, in
 	// seconds of one core.
 	gatherWork = 0.0022
@@ -71,6 +75,10 @@
 // Serves reports whether m takes requests of a node of that capacity.
 func (m Member) Serves(capacity float64) bool { return m.Capacity >= advantage*capacity }
 
+// Ample reports whether a node need not look for a coordinator before it follows the
+// store by itself.
+func (m Member) Ample() bool { return m.Capacity >= ample }
+
 // peer is what is known of one coordinator.
 type peer struct {
 	member Member
