--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/coordinator"
 )
 
@@ -365,7 +366,7 @@
 	}
 	d.failing = true
 	d.publish(false)
-	sleep(ctx, d.backoff/2+rand.N(d.backoff))
+	work.Sleep(ctx, d.backoff/2+rand.N(d.backoff))
 	d.backoff = min(2*d.backoff, maxBackoff)
 }
 
@@ -382,15 +383,3 @@
 	case <-d.hurry:
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/node/fleet/cost_test.go
+++ b/node/fleet/cost_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"github.com/carobmill/carobmill/node/work"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,7 +34,7 @@
 		asking := make(chan struct{})
 		go func() {
 			defer close(asking)
-			for began := time.Now(); time.Since(began) < 65*time.Second && sleep(ctx, 100*time.Millisecond); {
+			for began := time.Now(); time.Since(began) < 65*time.Second && work.Sleep(ctx, 100*time.Millisecond); {
 				for _, n := range nodes {
 					n.MayUseCold(n.Index().Replicas["r-"+n.dc])
 				}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -245,18 +245,6 @@
 	return d/2 + time.Duration(f.rng.Int64N(int64(d)+1))
 }
 
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // wake puts a token into a channel of one.
 func wake(c chan struct{}) {
 	select {
--- a/node/fleet/join.go
+++ b/node/fleet/join.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/membership"
 )
 
@@ -49,13 +50,13 @@
 	}
 	retry := startRetry
 	for !f.introduce(ctx) && f.isAwaited() {
-		if !sleep(ctx, f.jitter(retry)) {
+		if !work.Sleep(ctx, f.jitter(retry)) {
 			return
 		}
 		retry = min(2*retry, maxStartRetry)
 	}
 	f.unlockAfter(func() { f.newcomer = newcomer{introduced: true} })
-	for sleep(ctx, f.jitter(seedInterval)) {
+	for work.Sleep(ctx, f.jitter(seedInterval)) {
 		if addr, ok := f.strangeSeed(); ok {
 			f.join(ctx, addr)
 		}
--- a/node/fleet/ping.go
+++ b/node/fleet/ping.go
@@ -6,6 +6,7 @@
 	"time"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/membership"
 	"github.com/carobmill/carobmill/policy/ownership"
 )
@@ -51,7 +52,7 @@
 	f.mu.Lock()
 	urgent := f.table.Urgent()
 	f.mu.Unlock()
-	if urgent && sleep(ctx, urgentSpacing) {
+	if urgent && work.Sleep(ctx, urgentSpacing) {
 		wake(f.pingWake)
 	}
 }
@@ -108,7 +109,7 @@
 // more often: of two that do not know each other, each depends on news that may
 // have been passed on everywhere else.
 func (f *Fleet) syncLoop(ctx context.Context) {
-	for interval := firstSync; sleep(ctx, f.jitter(interval)); interval = min(2*interval, syncInterval) {
+	for interval := firstSync; work.Sleep(ctx, f.jitter(interval)); interval = min(2*interval, syncInterval) {
 		f.mu.Lock()
 		some := f.table.Helpers(f.table.Self().ID(), 1)
 		f.mu.Unlock()
--- a/node/fleet/platform.go
+++ b/node/fleet/platform.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/membership"
 )
 
@@ -19,7 +20,7 @@
 	for ctx.Err() == nil {
 		if f.version() == 0 {
 			// The start reads the platform itself.
-			sleep(ctx, f.jitter(startRetry))
+			work.Sleep(ctx, f.jitter(startRetry))
 			continue
 		}
 		var err error
@@ -32,7 +33,7 @@
 			retry = platformRetry
 			continue
 		}
-		if !sleep(ctx, f.jitter(retry)) {
+		if !work.Sleep(ctx, f.jitter(retry)) {
 			return
 		}
 		retry = min(2*retry, maxPlatformRetry)
@@ -57,7 +58,7 @@
 	if !f.offerEntry(entry) {
 		// Nothing new: the platform answers from the past. It may do so at once
 		// each time, hence the spacing.
-		sleep(ctx, watchSpacing-time.Since(began))
+		work.Sleep(ctx, watchSpacing-time.Since(began))
 	}
 	return entry.Revision, nil
 }
@@ -86,7 +87,7 @@
 }
 
 func (f *Fleet) slowPoll(ctx context.Context) error {
-	if !sleep(ctx, f.jitter(f.timing.slowPoll)) {
+	if !work.Sleep(ctx, f.jitter(f.timing.slowPoll)) {
 		return ctx.Err()
 	}
 	if f.Watcher() {
@@ -148,7 +149,7 @@
 		if f.Watcher() {
 			interval = watcherListInterval
 		}
-		if !sleep(ctx, f.jitter(interval)) {
+		if !work.Sleep(ctx, f.jitter(interval)) {
 			return
 		}
 		list := f.readList(ctx)
--- a/node/fleet/pull.go
+++ b/node/fleet/pull.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/work"
 )
 
 // ErrBusy says that this node answers enough pulls already; the peer asks
@@ -28,7 +29,7 @@
 		retry := pullRetry
 		wait := f.jitter(pullSpread)
 		for {
-			if !sleep(ctx, wait) {
+			if !work.Sleep(ctx, wait) {
 				return
 			}
 			sources := f.sources()
--- a/node/fleet/start.go
+++ b/node/fleet/start.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/configstate"
 	"github.com/carobmill/carobmill/policy/membership"
 )
@@ -20,7 +21,7 @@
 	for f.version() == 0 {
 		f.start(ctx, time.Since(began) >= startPatience)
 		begin()
-		if f.version() == 0 && !sleep(ctx, f.jitter(retry)) {
+		if f.version() == 0 && !work.Sleep(ctx, f.jitter(retry)) {
 			return
 		}
 		retry = min(2*retry, maxStartRetry)
--- a/node/fleet/world_test.go
+++ b/node/fleet/world_test.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/config"
 	"github.com/carobmill/carobmill/policy/membership"
 )
@@ -309,7 +310,7 @@
 	if err := n.waitWhilePaused(ctx); err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, oneWay) {
+	if !work.Sleep(ctx, oneWay) {
 		return nil, ctx.Err()
 	}
 	n.w.mu.Lock()
@@ -366,7 +367,7 @@
 type platformOf testNode
 
 func (p *platformOf) call(ctx context.Context) error {
-	if !sleep(ctx, oneWay) {
+	if !work.Sleep(ctx, oneWay) {
 		return ctx.Err()
 	}
 	p.w.mu.Lock()
--- a/node/node/shutdown.go
+++ b/node/node/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carobmill/carobmill/node/ring"
+	"github.com/carobmill/carobmill/node/work"
 )
 
 // peerGrace lets the news of leaving reach peers, and their last messages end,
@@ -31,7 +32,7 @@
 		// Peers stop sending new subrequests here while the balancer notices.
 		n.fleet.Leave(ctx)
 	}
-	sleep(ctx, milliseconds(n.settings.GetTiming().GetBalancerLagMs()))
+	work.Sleep(ctx, milliseconds(n.settings.GetTiming().GetBalancerLagMs()))
 	n.callers.Refuse()
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.log.WithError(err).Warn("shutdown: callers were still waiting")
@@ -44,7 +45,7 @@
 	if last {
 		n.leaveLast(untimed)
 	}
-	sleep(ctx, peerGrace)
+	work.Sleep(ctx, peerGrace)
 	n.stopPeers(ctx)
 	n.fleet.Left(ctx)
 	n.log.Info("shutdown: done")
@@ -64,7 +65,7 @@
 func (n *Node) leaveLast(ctx context.Context) {
 	n.ring.Add(ring.Shutdown, n.settings.GetNode(), "leaves last of its data centre")
 	n.fleet.Leave(ctx)
-	sleep(ctx, newsGrace)
+	work.Sleep(ctx, newsGrace)
 }
 
 // stopPeers lets subrequests of other nodes finish, within ctx.
@@ -97,12 +98,3 @@
 	n.idle()
 	n.metrics.Close()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/node/publish/inforce.go
+++ b/node/publish/inforce.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/node/platform"
+	"github.com/carobmill/carobmill/node/work"
 )
 
 // Fleet answers for all nodes that the node asked knows.
@@ -67,7 +68,7 @@
 		if last.Done() {
 			return last
 		}
-		if !pause(ctx, every) {
+		if !work.Sleep(ctx, every) {
 			last.Took = time.Since(start)
 			return last
 		}
--- a/node/publish/publish.go
+++ b/node/publish/publish.go
@@ -13,6 +13,7 @@
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/node/platform"
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/sheet"
 )
 
@@ -118,7 +119,7 @@
 			return stored{revision: entry.Revision, cfg: cfg, damaged: damaged}, nil
 		case errors.Is(err, platform.ErrNotFound):
 			return stored{}, nil
-		case !pause(ctx, p.Pause):
+		case !work.Sleep(ctx, p.Pause):
 			return stored{}, errors.Wrap(err, "read the accepted configuration")
 		}
 	}
@@ -182,15 +183,3 @@
 	ids := append([]string{accepted.GetPublishId()}, accepted.GetEarlierPublishIds()...)
 	return ids[:min(len(ids), maxEarlierIDs)]
 }
-
-// pause waits before the next attempt; false when ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/publish/write.go
+++ b/node/publish/write.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/node/platform"
+	"github.com/carobmill/carobmill/node/work"
 )
 
 // write swaps the value in and settles what became of it.
@@ -34,7 +35,7 @@
 				return r
 			}
 		}
-		if !pause(ctx, p.Pause) {
+		if !work.Sleep(ctx, p.Pause) {
 			return p.undecided(err)
 		}
 	}
@@ -47,7 +48,7 @@
 		if r, ok := p.look(ctx); ok {
 			return r
 		}
-		if !pause(ctx, p.Pause) {
+		if !work.Sleep(ctx, p.Pause) {
 			break
 		}
 	}
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -9,6 +9,7 @@
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/api/peerv1"
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/coordinator"
 )
 
@@ -76,7 +77,7 @@
 		r.keep(r.opts.Follower.Fleet())
 		to, ok := r.ranked(rank)
 		if !ok {
-			pause(ctx, aloneEvery)
+			work.Sleep(ctx, aloneEvery)
 			continue
 		}
 		wait := heartbeatWait
@@ -109,7 +110,7 @@
 		if _, _, ok := r.pick(nil); ok {
 			return
 		}
-		pause(ctx, lookAgain/2+rand.N(lookAgain))
+		work.Sleep(ctx, lookAgain/2+rand.N(lookAgain))
 	}
 	r.follow(true)
 }
@@ -140,7 +141,7 @@
 	}
 	if !resp.GetConfigured() {
 		// It answers at once then, so that its callers come as soon as it can serve.
-		pause(ctx, lookAgain)
+		work.Sleep(ctx, lookAgain)
 	}
 	r.keep(decodeFleet(resp))
 }
@@ -183,7 +184,7 @@
 			r.beat(ctx, to, 0, trialTimeout)
 		}
 		r.judgeRole(ctx, &role)
-		pause(ctx, next)
+		work.Sleep(ctx, next)
 	}
 }
 
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/carobmill/carobmill/node/forward"
 	"github.com/carobmill/carobmill/node/peer"
 	"github.com/carobmill/carobmill/node/telemetry"
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/coordinator"
 )
 
@@ -106,7 +107,7 @@
 		if ok || len(tried) > 0 || r.knows() || !r.mayReturn() || ctx.Err() != nil {
 			return to, condition, ok
 		}
-		pause(ctx, lookEvery)
+		work.Sleep(ctx, lookEvery)
 	}
 }
 
@@ -229,7 +230,7 @@
 func (r *Relay) local(ctx context.Context, req *forward.Request) forward.Answer {
 	r.follow(true)
 	least := r.leastVersion()
-	for behindSince := time.Now(); ; pause(ctx, lookEvery) {
+	for behindSince := time.Now(); ; work.Sleep(ctx, lookEvery) {
 		v := r.opts.Follower.View()
 		switch {
 		case v != nil && v.Index.Version >= least:
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -14,6 +14,7 @@
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/forward"
 	"github.com/carobmill/carobmill/node/peer"
+	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/coordinator"
 )
 
@@ -130,7 +131,7 @@
 			return pb.RelayRefusal_RELAY_REFUSAL_BEHIND
 		}
 		s.opts.Follower.Hurry()
-		pause(ctx, lookEvery)
+		work.Sleep(ctx, lookEvery)
 	}
 }
 
@@ -169,12 +170,3 @@
 		fleetRevision: s.opts.Follower.Fleet().Revision,
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
