Keep ages on the steady clock

Found by reading: three ages were kept as Unix nanoseconds. When a VM's time of day jumps back by seconds, a coordinator without the store would not say that its news is old for as long, and senders would go on with it. Change: they are kept as times, whose difference does not follow the time of day. No test: the clock of a test cannot be set apart from its steady one.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -68,12 +68,12 @@
 	// following is open while the node follows the store and is registered.
 	following *gate
 	synced    atomic.Bool
-	// unheardSince is the time in Unix nanoseconds of the store's last answer while calls
-	// to it fail; 0 while they do not.
-	unheardSince atomic.Int64
-	// reliedOn is when another node was last heard to rely on this one, in Unix
-	// nanoseconds; 0 for never.
-	reliedOn atomic.Int64
+	// unheardSince is the store's last answer while calls to it fail; nil while they do
+	// not. Kept as a time and not as a number, which would follow the VM's time of day
+	// when that jumps.
+	unheardSince atomic.Pointer[time.Time]
+	// reliedOn is when another node was last heard to rely on this one; nil for never.
+	reliedOn atomic.Pointer[time.Time]
 	// hurry is signalled to end the pause between two watches.
 	hurry chan struct{}
 
@@ -122,12 +122,15 @@
 // Stale reports whether the store has not answered for so long that news may be missing.
 func (d *Directory) Stale() bool {
 	since := d.unheardSince.Load()
-	return since != 0 && time.Now().UnixNano()-since > int64(staleAfter)
+	return since != nil && time.Since(*since) > staleAfter
 }
 
 // RelyOn notes that another node relies on what this one knows. Its store may be in reach
 // when this one's has gone silent, and it must not miss news for that.
-func (d *Directory) RelyOn() { d.reliedOn.Store(time.Now().UnixNano()) }
+func (d *Directory) RelyOn() {
+	now := time.Now()
+	d.reliedOn.Store(&now)
+}
 
 // Hurry asks the store at once instead of pausing between two watches, for a node that
 // has heard of a newer version.
@@ -191,7 +194,7 @@
 func (d *Directory) rest(ctx context.Context) {
 	d.synced.Store(false)
 	d.failing = false
-	d.unheardSince.Store(0)
+	d.unheardSince.Store(nil)
 	d.view.Store(nil)
 	d.following.wait(ctx, true)
 	d.lastSuccess = time.Now()
@@ -287,7 +290,8 @@
 
 func (d *Directory) changes(ctx context.Context) (Page, error) {
 	wait := defaultWait
-	relied := time.Now().UnixNano()-d.reliedOn.Load() < int64(reliedFor)
+	last := d.reliedOn.Load()
+	relied := last != nil && time.Since(*last) < reliedFor
 	if relied && d.opts.NewsBound > 0 {
 		wait = min(wait, max(d.opts.NewsBound-reaction, minWait))
 	}
@@ -351,7 +355,7 @@
 		d.opts.Log.WithField("away_ms", away.Milliseconds()).Info("the store answers again")
 	}
 	d.failing = false
-	d.unheardSince.Store(0)
+	d.unheardSince.Store(nil)
 	d.lastSuccess = now
 	d.backoff = minBackoff
 }
@@ -362,7 +366,8 @@
 		d.opts.Log.WithError(err).WithField("revision", d.state.revision).Warn("the store does not answer: going on with what is known")
 	}
 	if !d.failing {
-		d.unheardSince.Store(d.lastSuccess.UnixNano())
+		last := d.lastSuccess
+		d.unheardSince.Store(&last)
 	}
 	d.failing = true
 	d.publish(false)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -62,9 +62,9 @@
 	adminServer  *http.Server
 	peerServer   *grpc.Server
 
-	// unservingSince is the time in Unix nanoseconds since which this node cannot answer
-	// callers; 0 while it can.
-	unservingSince atomic.Int64
+	// unservingSince is the time since which this node cannot answer callers; nil while
+	// it can.
+	unservingSince atomic.Pointer[time.Time]
 	// stopping is set when a graceful shutdown has begun, closing when connections
 	// are to be closed after their answer.
 	stopping, closing atomic.Bool
@@ -136,10 +136,11 @@
 func (g *Gateway) serving() (bool, string) {
 	why := g.whyNot()
 	if why == "" {
-		g.unservingSince.Store(0)
+		g.unservingSince.Store(nil)
 		return true, ""
 	}
-	g.unservingSince.CompareAndSwap(0, time.Now().UnixNano())
+	now := time.Now()
+	g.unservingSince.CompareAndSwap(nil, &now)
 	return false, why
 }
 
@@ -160,10 +161,10 @@
 // only once.
 func (g *Gateway) balancerDelay(now time.Time) time.Duration {
 	since := g.unservingSince.Load()
-	if since == 0 {
+	if since == nil {
 		return 0
 	}
-	return balancerNotices - now.Sub(time.Unix(0, since))
+	return balancerNotices - now.Sub(*since)
 }
 
 // NodeStatus implements admin.Status. It describes this node only.
