Notice the store's return soon, and be unready where the data centre is cut off

Coordinators hung in watches that were sent during the outage and noticed its return 2.2 s late; 20 small nodes, which asked three times meanwhile, followed it by themselves and registered, so that the fleet's budgets were shared out among 12.8 instead of 8. Half a second later their data centre was cut off. They knew a configuration and sent nothing themselves, so that they stayed ready, and all of its callers' requests were refused for 5 s. Ruled out: the refusals at once, which came with it by chance. Change: while the store fails to answer, watches wait for 0.5 s; a small node registers after it has followed the store for 2 s; a node is unready while coordinators next door say that they are cut off. The test of the return fails without the first.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -41,6 +41,11 @@
 	// staleAfter is how long the store may fail to answer before this node says that its
 	// news is old: a lost answer or two are made good within it.
 	staleAfter = 700 * time.Millisecond
+	// retryWait is how long a watch waits while the store fails to answer. A watch that
+	// was sent during an outage may never be answered, and holds this node up for all of
+	// its time: coordinators were 2.2 s later than the store's return, and their senders
+	// followed the store by themselves meanwhile.
+	retryWait = 500 * time.Millisecond
 	// outageAfter is the silence of the store from which entries may have lapsed
 	// because their replicas could not renew them, and doubtFor how long after the
 	// store's return a missing entry counts as doubtful.
@@ -54,6 +59,10 @@
 	// Node is this one, as it registers.
 	Node coordinator.Member
 	Log  logrus.FieldLogger
+	// RegisterAfter is how long the node has to follow the store before it registers, so
+	// that one that does so for a moment does not shrink the others' parts of the fleet's
+	// budgets for as long as a vanished node counts.
+	RegisterAfter time.Duration
 	// NewsBound is the time within which news has to take effect; 0 for no bound.
 	NewsBound time.Duration
 	// Changed is called with each new view, one at a time; may be nil.
@@ -290,6 +299,9 @@
 
 func (d *Directory) changes(ctx context.Context) (Page, error) {
 	wait := defaultWait
+	if d.failing {
+		wait = retryWait
+	}
 	last := d.reliedOn.Load()
 	relied := last != nil && time.Since(*last) < reliedFor
 	if relied && d.opts.NewsBound > 0 {
--- a/node/directory/directory_test.go
+++ b/node/directory/directory_test.go
@@ -313,3 +313,23 @@
 		c.Assert(noticed <= newsBound-500*time.Millisecond, qt.IsTrue, qt.Commentf("after %s", noticed))
 	})
 }
+
+// The store is silent for a while and comes back while a watch hangs that was sent during
+// the outage. Others rely on the node's news, so that it has to notice soon.
+func TestReturnOfTheStoreIsNoticedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newStoreFake()
+		s.put(configuration(1))
+		d := follow(t, s)
+		time.Sleep(time.Second)
+		s.set(func() { s.silent = true })
+		time.Sleep(8 * time.Second)
+		c.Assert(d.Stale(), qt.IsTrue)
+		s.mu.Lock()
+		s.silent = false
+		s.mu.Unlock()
+		time.Sleep(2200 * time.Millisecond)
+		c.Assert(d.Stale(), qt.IsFalse)
+	})
+}
--- a/node/directory/register.go
+++ b/node/directory/register.go
@@ -25,6 +25,7 @@
 			d.withdraw(ctx, lease)
 			lease = 0
 			d.following.wait(ctx, true)
+			d.following.waitFor(ctx, false, d.opts.RegisterAfter)
 			continue
 		}
 		lease = d.registerOnce(ctx, lease)
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -27,6 +27,9 @@
 	// holdClosed is how long a closed connection counts against a replica's limit
 	// when the replica does not confirm it.
 	holdClosed = 2 * time.Second
+	// smallRegistersAfter is how long a node on a small VM, which follows the store only
+	// while it reaches no coordinator, does so before it registers.
+	smallRegistersAfter = 2 * time.Second
 	// balancerNotices is how long the balancer takes to send callers elsewhere: it asks
 	// every second and acts on the second miss.
 	balancerNotices = 2200 * time.Millisecond
@@ -60,19 +63,28 @@
 		DataCentre: settings.GetDataCentre(),
 		Capacity:   settings.GetForwarding().GetCapacity(),
 	}
-	g.directory = directory.New(directory.Options{
-		Store:     adapter.Store(),
-		Node:      own,
-		Log:       g.log,
-		NewsBound: time.Duration(settings.GetForwarding().GetNewsBoundMs()) * time.Millisecond,
-		Changed:   g.changed,
-	})
+	g.buildDirectory(own, adapter.Store())
 	g.buildForwarder(adapter.Dialect())
 	g.buildRelay(own, credentials)
 	g.buildListeners(adapter, metricsHandler)
 	return g, nil
 }
 
+// buildDirectory builds what follows the store.
+func (g *Gateway) buildDirectory(own coordinator.Member, store directory.Store) {
+	o := directory.Options{
+		Store:     store,
+		Node:      own,
+		Log:       g.log,
+		NewsBound: time.Duration(g.settings.GetForwarding().GetNewsBoundMs()) * time.Millisecond,
+		Changed:   g.changed,
+	}
+	if !own.Ample() {
+		o.RegisterAfter = smallRegistersAfter
+	}
+	g.directory = directory.New(o)
+}
+
 // buildForwarder builds what asks the shards from this node.
 func (g *Gateway) buildForwarder(dialect backend.Dialect) {
 	g.backends = backend.New(backend.Options{
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -148,6 +148,8 @@
 	switch {
 	case g.relay.Ready():
 		return ""
+	case g.relay.CutOff():
+		return "the coordinators next door reach no other data centre"
 	case g.directory.View() == nil:
 		return "no configuration is known, and no coordinator is in reach"
 	case g.forwarder.Isolated():
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -255,3 +255,11 @@
 
 // Ready reports whether a coordinator can answer requests of this node's callers.
 func (r *Relay) Ready() bool { return r.connection().Serving }
+
+// CutOff reports whether this node's data centre reaches no other one, as its coordinators
+// say. A node that follows the store but sends nothing itself would not know.
+func (r *Relay) CutOff() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Isolated(time.Now())
+}
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -377,6 +377,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		w.Assert(w.small.relay.Ready(), qt.IsFalse)
+		w.Assert(w.small.relay.CutOff(), qt.IsTrue)
 	})
 }
 
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -156,7 +156,7 @@
 // Pick returns the coordinator expected to answer first, and its condition. Tried ones
 // are left out.
 func (t *Table) Pick(now time.Time, tried map[string]bool) (m Member, c Condition, ok bool) {
-	isolated := t.isolated(now)
+	isolated := t.Isolated(now)
 	var best *peer
 	var bestCost float64
 	for _, p := range t.peers {
@@ -185,8 +185,9 @@
 	return p.streak == 0 && now.Sub(p.heard) <= heardFor
 }
 
-// isolated reports whether a coordinator of the own data centre reaches no other one.
-func (t *Table) isolated(now time.Time) bool {
+// Isolated reports whether a coordinator of the own data centre says that it reaches no
+// other one.
+func (t *Table) Isolated(now time.Time) bool {
 	for _, p := range t.peers {
 		if p.member.DataCentre == t.own.DataCentre && p.heardOf(now) && p.condition.Isolated {
 			return true
@@ -221,7 +222,7 @@
 // use: one that failed, or, while the own data centre's are isolated, one that was not
 // heard of.
 func (t *Table) Due(now time.Time) (Member, bool) {
-	isolated := t.isolated(now)
+	isolated := t.Isolated(now)
 	var due *peer
 	for _, p := range t.peers {
 		waits := p.streak > 0 || isolated && !p.heardOf(now)
