Learn the body limit from coordinators, and count relayed requests

Found by reading: a small node does not know the configuration, so that it refused bodies above its own settings' limit that operators allow; and its metrics told of no request that it relayed. Change: heartbeats carry the limit; relayed requests are counted by outcome and latency.

--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -121,6 +121,7 @@
 		Registered: g.directory.Registered,
 		Leaving:    g.stopping.Load,
 		Log:        g.log,
+		Record:     g.recordRelayed,
 	})
 	g.peerServer = relay.NewServer(relay.ServerOptions{
 		Follower: g.directory,
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -81,9 +81,22 @@
 // changed takes a new view of the directory.
 func (g *Gateway) changed(v *directory.View) { g.forwarder.Update(v) }
 
-// record counts an ended request.
+// record counts a request that was answered from this node.
 func (g *Gateway) record(r *route.Route, a *forward.Answer, took time.Duration) {
-	q := telemetry.Query{Service: r.Name, Class: r.Name, Took: took, OnTime: took <= r.Objective}
+	g.count(telemetry.Query{Service: r.Name, Class: r.Name, Took: took, OnTime: took <= r.Objective}, a)
+}
+
+// relayed stands for the route of requests that went to a coordinator, which alone knows
+// it and counts them by it.
+const relayed = "relayed"
+
+// recordRelayed counts a request that went to a coordinator. On time is what it answered.
+func (g *Gateway) recordRelayed(a *forward.Answer, took time.Duration) {
+	answered := a.Outcome == forward.Passed || a.Outcome == forward.Merged
+	g.count(telemetry.Query{Service: relayed, Class: relayed, Took: took, OnTime: answered}, a)
+}
+
+func (g *Gateway) count(q telemetry.Query, a *forward.Answer) {
 	switch a.Outcome {
 	case forward.Passed, forward.Merged:
 		q.Outcome, q.Coverage = telemetry.OutcomeComplete, 1
@@ -110,11 +123,13 @@
 
 // MaxBodyBytes implements Service.
 func (g *Gateway) MaxBodyBytes() int64 {
-	own := int64(g.settings.GetLimits().GetMaxBodyBytes())
 	if v := g.directory.View(); v != nil && v.Index.Limits.MaxBodyBytes > 0 {
 		return v.Index.Limits.MaxBodyBytes
 	}
-	return own
+	if told := g.relay.MaxBodyBytes(); told > 0 {
+		return told
+	}
+	return int64(g.settings.GetLimits().GetMaxBodyBytes())
 }
 
 // Closing implements Service.
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -139,7 +140,9 @@
 			Configured: resp.GetConfigured(), Stale: resp.GetStale(), Isolated: resp.GetIsolated(),
 		})
 	}
-	if !resp.GetConfigured() {
+	if resp.GetConfigured() {
+		r.maxBodyBytes.Store(int64(min(resp.GetMaxBodyBytes(), math.MaxInt64)))
+	} else {
 		// It answers at once then, so that its callers come as soon as it can serve.
 		work.Sleep(ctx, lookAgain)
 	}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -48,6 +49,8 @@
 	// Leaving reports whether the node is shutting down.
 	Leaving func() bool
 	Log     logrus.FieldLogger
+	// Record is called with each request that went to a coordinator; may be nil.
+	Record func(a *forward.Answer, took time.Duration)
 }
 
 // Relay is the sender's side. Safe for concurrent use.
@@ -55,6 +58,9 @@
 	opts  Options
 	lines telemetry.LineBudget
 
+	// maxBodyBytes is what a coordinator last said that callers may send; 0 if nothing.
+	maxBodyBytes atomic.Int64
+
 	// mu guards the fields below.
 	mu    sync.Mutex
 	table *coordinator.Table
@@ -89,12 +95,23 @@
 		tried[to.Node] = true
 		answer, done := r.send(ctx, to, req)
 		if done {
+			r.record(&answer, req)
 			return answer
 		}
 	}
 	return r.local(ctx, req)
 }
 
+func (r *Relay) record(a *forward.Answer, req *forward.Request) {
+	if r.opts.Record != nil {
+		r.opts.Record(a, time.Since(req.Arrived))
+	}
+}
+
+// MaxBodyBytes is the largest body that callers may send, as coordinators say; 0 if they
+// have said nothing.
+func (r *Relay) MaxBodyBytes() int64 { return r.maxBodyBytes.Load() }
+
 // await returns a coordinator for a request. When there is none, it waits a moment for
 // one, unless this node can answer by itself.
 //
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -151,6 +151,9 @@
 		Isolated:      now.condition.Isolated,
 		FleetRevision: now.fleetRevision,
 	}
+	if v := s.opts.Follower.View(); v != nil {
+		resp.MaxBodyBytes = uint64(max(v.Index.Limits.MaxBodyBytes, 0))
+	}
 	if fleet := s.opts.Follower.Fleet(); fleet.Revision > m.GetFleetRevision() {
 		resp.FleetRevision = fleet.Revision
 		resp.Fleet = encodeFleet(fleet)
