--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -212,7 +212,7 @@
 // read reads every area as a whole.
 func (d *Directory) read(ctx context.Context) error {
 	began := time.Now()
-	var first uint64
+	var first, last uint64
 	changed := false
 	for _, area := range []Area{AreaReplicas, AreaNodes, AreaOperators} {
 		listed := make(map[string]bool)
@@ -230,6 +230,7 @@
 			if first == 0 {
 				first = page.Revision
 			}
+			last = max(last, page.Revision)
 			now := time.Now()
 			for _, r := range page.Records {
 				listed[r.Name] = true
@@ -245,6 +246,13 @@
 	// Pages are no snapshot: the watch goes on from the first of them, and what it
 	// tells again is older or the same.
 	d.state.revision = max(d.state.revision, first)
+	if last > first {
+		more, err := d.catchUp(ctx)
+		if err != nil {
+			return err
+		}
+		changed = changed || more
+	}
 	d.synced.Store(true)
 	d.opts.Log.WithFields(logrus.Fields{
 		"revision": first, "replicas": d.state.replicas.Len(), "took_ms": time.Since(began).Milliseconds(),
@@ -253,6 +261,31 @@
 	return nil
 }
 
+// catchUp takes what was written while the areas were read.
+//
+// Failure: replicas register and the configuration is written after a starting node has
+// read the replicas, and before it reads the configuration. Symptom: it takes callers, and
+// refuses them for want of replicas until its first watch has answered.
+func (d *Directory) catchUp(ctx context.Context) (changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, defaultCallTimeout)
+	defer cancel()
+	page, err := d.opts.Store.Watch(ctx, d.state.revision, 0)
+	if errors.Is(err, ErrCompacted) {
+		// The history went meanwhile too. The watch that follows says so again, and
+		// everything is read anew.
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	now := time.Now()
+	for _, r := range page.Records {
+		changed = d.take(now, r) || changed
+	}
+	d.state.revision = max(d.state.revision, page.Revision)
+	return changed, nil
+}
+
 func (d *Directory) page(ctx context.Context, area Area, after string) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, defaultCallTimeout)
 	defer cancel()
--- a/node/directory/directory_test.go
+++ b/node/directory/directory_test.go
@@ -28,6 +28,8 @@
 	items    map[string]directory.Record
 	events   []directory.Record
 	away     bool
+	// reading is called before an area is read; may be nil.
+	reading func(area directory.Area)
 	// silent makes watches wait without an end.
 	silent bool
 	// floor is the revision before which the history was dropped.
@@ -65,6 +67,9 @@
 }
 
 func (s *storeFake) Read(_ context.Context, area directory.Area, _ string) (directory.Page, error) {
+	if s.reading != nil {
+		s.reading(area)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -151,11 +156,17 @@
 
 // follow runs a directory over the fake for the time of the test.
 func follow(t *testing.T, s *storeFake) *directory.Directory {
+	t.Helper()
+	return followWith(t, s, nil)
+}
+
+// followWith is follow with a function that gets each new view.
+func followWith(t *testing.T, s *storeFake, changed func(*directory.View)) *directory.Directory {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d := directory.New(directory.Options{
-		Store: s, Node: coordinator.Member{Node: "n1", Capacity: 1}, Log: log, NewsBound: newsBound,
+		Store: s, Node: coordinator.Member{Node: "n1", Capacity: 1}, Log: log, NewsBound: newsBound, Changed: changed,
 	})
 	d.Follow(true)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -333,3 +344,25 @@
 		c.Assert(d.Stale(), qt.IsFalse)
 	})
 }
+
+// A node starts while replicas register and the first configuration is written: after it
+// has read the replicas, and before it reads the configuration. It must not take callers
+// with a configuration whose replicas it does not know, or it refuses them.
+func TestFirstViewHoldsWhatCameDuringTheReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newStoreFake()
+		s.put(replica("r0"))
+		s.reading = func(area directory.Area) {
+			if area == directory.AreaOperators {
+				s.put(replica("r1"))
+				s.put(configuration(1))
+			}
+		}
+		var replicas []int
+		followWith(t, s, func(v *directory.View) { replicas = append(replicas, len(v.Replicas["timing"])) })
+		time.Sleep(time.Second)
+		c.Assert(replicas, qt.Not(qt.HasLen), 0)
+		c.Assert(replicas[0], qt.Equals, 2)
+	})
+}
