Choose replicas without the load that they told

Cause: a replica's answer tells its queue, and the choice added that for 300 ms. By then the queue is another one: it is longest at the end of a pause, when the replica is about to be the fastest again, and requests went to another data centre. Change: the load is neither read nor kept; what decides is this node's own latencies, requests out and failures.

--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -14,7 +14,6 @@
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/policy/config"
-	"github.com/carobmill/carobmill/policy/upstream"
 )
 
 // Forward is a caller's request on its way to one replica, byte for byte. It is used
@@ -69,8 +68,6 @@
 	OtherReplica bool
 	// Signature proves that the reply is the replica's own.
 	Signature string
-	// Load is nil when the reply does not tell it.
-	Load *upstream.Load
 }
 
 // Dialect is the way in which backend servers speak beside plain HTTP.
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -178,7 +178,6 @@
 		Class:  q.route.Name,
 		Took:   reply.Took,
 		Result: resultOf(reply),
-		Load:   reply.Notes.Load,
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/policy/upstream/upstream.go
+++ b/policy/upstream/upstream.go
@@ -1,6 +1,6 @@
 // Package upstream chooses the replica of one service that a request goes to, from
-// what this node has seen of each: answers, latency, load, failures and requests that
-// are still out. Nothing in it does I/O or reads a clock.
+// what this node has seen of each: answers, latency, failures and requests that are
+// still out. Nothing in it does I/O or reads a clock.
 package upstream
 
 import (
@@ -35,8 +35,6 @@
 	// queueCost is the share of an expected latency that each request in flight from
 	// this node adds.
 	queueCost = 0.5
-	// loadFresh is how long a load report counts.
-	loadFresh = 300 * time.Millisecond
 	// awayCost is added for a replica in another data centre. Bytes between data centres
 	// are priced: of Chile's quiet day 0.041 GB crossed at a cost of 0.15 and 0.026 GB at
 	// this one, with as much served in time (0.992 and 0.993 of the benefit). A replica
@@ -78,11 +76,6 @@
 	Elsewhere
 )
 
-// Load is what a replica told of its queue.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // State is what this node knows of one replica.
 type State struct {
 	Replica *registry.Replica
@@ -98,11 +91,9 @@
 	// arrive at a replica of another service and count against that one's budget for
 	// retries: 43 a second over eight nodes were seen. Only a newer record of the
 	// replica ends it.
-	gone   bool
-	load   Load
-	loadAt time.Time
-	out    []attempt
-	cold   bucket
+	gone bool
+	out  []attempt
+	cold bucket
 }
 
 // attempt is a request that is out at a replica.
@@ -226,13 +217,6 @@
 		slow = max(slow, coldCost)
 	}
 	cost := slow * (1 + queueCost*float64(len(st.out)))
-	if now.Sub(st.loadAt) < loadFresh && st.load.Slots > 0 {
-		// Requests of other nodes that wait there are served first.
-		cost += slow * float64(st.load.Waiting) / float64(st.load.Slots)
-		if st.load.Running >= st.load.Slots {
-			cost += slow * queueCost
-		}
-	}
 	for _, a := range st.out {
 		if age := float64(now.Sub(a.sent)) / float64(a.expected); age > stalledAfter {
 			cost += age
@@ -315,16 +299,11 @@
 	Class  string
 	Took   time.Duration
 	Result Result
-	// Load is set when the replica told it.
-	Load *Load
 }
 
 // Done takes the end of an attempt.
 func (s *Set) Done(now time.Time, st *State, sample Sample) {
 	st.remove(sample.Handle)
-	if sample.Load != nil {
-		st.load, st.loadAt = *sample.Load, now
-	}
 	switch sample.Result {
 	case Answered:
 		s.observe(now, st, sample)
