Read the store in one call a page, and ask it at most once a second

Nothing that the news decides is due within less than three seconds. Change: one reading covers all areas, page by page; two watches are a second apart in place of half of one. The pause counts against the next watch's wait, so that a connection to the store that was forgotten is noticed 3.6 s after the last answer, as before.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -18,22 +18,23 @@
 	// defaultCallTimeout bounds every call but a watch. The store answers within
 	// milliseconds, and within a quarter of a second when it is slow.
 	defaultCallTimeout = time.Second
-	// defaultWait is how long a watch waits at the store. A watch whose connection
-	// was forgotten on the way is noticed after defaultWait + watchSlack, inside the
-	// 4 s that nodes have after such a loss before news is due again.
+	// defaultWait is how long the store may be silent to a watch, the pause before it
+	// counted. A watch whose connection was forgotten on the way is noticed after
+	// defaultWait + watchSlack, inside the 4 s that nodes have after such a loss before
+	// news is due again.
 	defaultWait = 3 * time.Second
 	watchSlack  = 600 * time.Millisecond
 	// pace is the least time between two watch calls: the changes of a busy moment
 	// come in one answer, and each call has its price.
-	pace = 500 * time.Millisecond
+	pace = time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call; it is jittered
 	// so that the nodes do not return all at once.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
 	// reaction is what is left of the time within which news has to take effect when a
-	// watch that waits is noticed to be silent: a pause before the watch, its slack, and
-	// half a second until the nodes that rely on this one have gone to others.
-	reaction = pace + watchSlack + 600*time.Millisecond
+	// watch that waits is noticed to be silent: its slack, and half a second until the
+	// nodes that rely on this one have gone to others.
+	reaction = watchSlack + 600*time.Millisecond
 	// minWait bounds a watch's wait from below.
 	minWait = 500 * time.Millisecond
 	// reliedFor is how long a node counts as relied on after another one's heartbeat.
@@ -209,40 +210,33 @@
 	d.lastSuccess = time.Now()
 }
 
-// read reads every area as a whole.
+// read reads the store as a whole: all areas together, since each call has its price.
 func (d *Directory) read(ctx context.Context) error {
 	began := time.Now()
 	var first, last uint64
+	listed := make(map[Area]map[string]bool)
 	changed := false
-	for _, area := range []Area{AreaReplicas, AreaNodes, AreaOperators} {
-		listed := make(map[string]bool)
-		after := ""
-		var revision uint64
-		for {
-			page, err := d.page(ctx, area, after)
-			if err != nil {
-				return err
-			}
-			d.succeeded()
-			if revision == 0 {
-				revision = page.Revision
-			}
-			if first == 0 {
-				first = page.Revision
-			}
-			last = max(last, page.Revision)
-			now := time.Now()
-			for _, r := range page.Records {
-				listed[r.Name] = true
-				changed = d.take(now, r) || changed
-			}
-			if page.More == "" {
-				break
+	for more, after := true, ""; more; more = after != "" {
+		page, err := d.page(ctx, after)
+		if err != nil {
+			return err
+		}
+		d.succeeded()
+		if first == 0 {
+			first = page.Revision
+		}
+		last = max(last, page.Revision)
+		now := time.Now()
+		for _, r := range page.Records {
+			if listed[r.Area] == nil {
+				listed[r.Area] = make(map[string]bool)
 			}
-			after = page.More
+			listed[r.Area][r.Name] = true
+			changed = d.take(now, r) || changed
 		}
-		changed = d.keep(area, listed, revision) || changed
+		after = page.More
 	}
+	changed = d.keep(listed, first) || changed
 	// Pages are no snapshot: the watch goes on from the first of them, and what it
 	// tells again is older or the same.
 	d.state.revision = max(d.state.revision, first)
@@ -263,9 +257,9 @@
 
 // catchUp takes what was written while the areas were read.
 //
-// Failure: replicas register and the configuration is written after a starting node has
-// read the replicas, and before it reads the configuration. Symptom: it takes callers, and
-// refuses them for want of replicas until its first watch has answered.
+// Failure: the store holds more than a page, and replicas register while a starting node
+// reads the others. Symptom: it takes callers, and refuses them for want of replicas until
+// its first watch has answered.
 func (d *Directory) catchUp(ctx context.Context) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, defaultCallTimeout)
 	defer cancel()
@@ -286,24 +280,19 @@
 	return changed, nil
 }
 
-func (d *Directory) page(ctx context.Context, area Area, after string) (Page, error) {
+func (d *Directory) page(ctx context.Context, after string) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, defaultCallTimeout)
 	defer cancel()
-	return d.opts.Store.Read(ctx, area, after)
+	return d.opts.Store.Read(ctx, after)
 }
 
-// keep drops what a complete reading of an area did not list.
-func (d *Directory) keep(area Area, listed map[string]bool, revision uint64) bool {
+// keep drops what a complete reading did not list.
+func (d *Directory) keep(listed map[Area]map[string]bool, revision uint64) (changed bool) {
 	now := time.Now()
-	switch area {
-	case AreaReplicas:
-		return d.state.replicas.RemoveMissing(now, listed, revision, now.Before(d.doubtfulTill))
-	case AreaNodes:
-		d.state.nodes.KeepListed(now, listed, revision)
-	case AreaOperators:
-		return d.state.keepOut(listed)
-	}
-	return false
+	d.state.nodes.KeepListed(now, listed[AreaNodes], revision)
+	gone := d.state.replicas.RemoveMissing(now, listed[AreaReplicas], revision, now.Before(d.doubtfulTill))
+	back := d.state.keepOut(listed[AreaOperators])
+	return gone || back
 }
 
 // watch waits for changes and applies them.
@@ -338,10 +327,11 @@
 	last := d.reliedOn.Load()
 	relied := last != nil && time.Since(*last) < reliedFor
 	if relied && d.opts.NewsBound > 0 {
-		wait = min(wait, max(d.opts.NewsBound-reaction, minWait))
+		wait = min(wait, d.opts.NewsBound-reaction)
 	}
+	wait = max(wait-time.Since(d.lastSuccess), minWait)
 	if next := d.state.replicas.NextExpiry(); !next.IsZero() {
-		wait = min(wait, max(time.Until(next), pace))
+		wait = min(wait, max(time.Until(next), minWait))
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
--- a/node/directory/store.go
+++ b/node/directory/store.go
@@ -23,11 +23,10 @@
 	ErrLeaseEnded = errors.New("lease has ended")
 )
 
-// Area is a part of the store that is read as a whole.
+// Area is a part of the store.
 type Area int
 
-// Areas, in the order in which a newcomer reads them: the configuration last, so that
-// a node that knows it knows its replicas too.
+// Areas.
 const (
 	AreaReplicas Area = iota
 	AreaNodes
@@ -59,15 +58,16 @@
 	Records []Record
 	// Revision of the store that the page reflects.
 	Revision uint64
-	// More is the name to go on after; empty on the last page.
+	// More is the mark to go on after; empty on the last page.
 	More string
 }
 
 // Store is the platform's store, in terms of the product. Implementations translate
 // and do not retry.
 type Store interface {
-	// Read returns the page of an area that begins after a name.
-	Read(ctx context.Context, area Area, after string) (Page, error)
+	// Read returns the page of all areas that begins after a mark; the first one begins
+	// after none.
+	Read(ctx context.Context, after string) (Page, error)
 	// Watch waits until something changed after the revision, at most that long.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error)
 	// Nodes returns the registered nodes; the answer may be seconds old, and costs a
