Put hedges off while their budget is scarce

Cause: when replicas of many shards turn slow, attempts that would have answered in time were hedged as soon as they were late beside others, and the budget for extra requests was spent when one stood still. Change: the more of the hedges' budget is used, the later a hedge is sent, up to the last moment at which it still answers inside the objective; that is reached at three quarters. Test: one attempt in six slow, one in thirty standing still, hedges for one in sixteen: 30 of 96 that stood still were hedged before, three of four must be.

--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -135,6 +135,13 @@
 	return s.budget.Take(now, size)
 }
 
+// spareUsed is the share of the service's budget for hedges that is used.
+func (s *service) spareUsed(size float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.SpareUsed(time.Now(), size)
+}
+
 func (q *run) pickFor(i int, hedge bool, size float64) upstream.Request {
 	r := upstream.Request{
 		Class:           q.route.Name,
--- a/node/forward/class.go
+++ b/node/forward/class.go
@@ -68,9 +68,9 @@
 	c.recent.Observe(took)
 }
 
-// hedgeAfter returns how long an attempt may be out before it is hedged.
-func (c *class) hedgeAfter(objective time.Duration) time.Duration {
+// hedging returns how long attempts may be out before they are hedged.
+func (c *class) hedging(objective time.Duration) gather.Hedging {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return gather.HedgeAfter(&c.recent, objective)
+	return gather.NewHedging(&c.recent, objective)
 }
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -174,7 +174,11 @@
 
 // hedges sends the hedges that are due and returns when the next one is.
 func (q *run) hedges() time.Duration {
-	after := q.class.hedgeAfter(q.route.Objective)
+	hedging := q.class.hedging(q.route.Objective)
+	size := q.f.opts.Source.FleetSize()
+	after := func(i int) time.Duration {
+		return hedging.After(q.services[i].spareUsed(size))
+	}
 	return q.query.Hedges(q.since(), after, func(i int) {
 		if !q.send(i, true) {
 			q.query.GiveUp(i)
--- a/policy/gather/gather.go
+++ b/policy/gather/gather.go
@@ -232,9 +232,9 @@
 }
 
 // Hedges calls send for each shard whose attempt is due for a hedge: it has been out
-// for after, and another may be sent. It returns when the next one is due, or the
-// deadline.
-func (q *Query) Hedges(now, after time.Duration, send func(i int)) time.Duration {
+// for what after says, and another may be sent. It returns when the next one is due, or
+// the deadline.
+func (q *Query) Hedges(now time.Duration, after func(i int) time.Duration, send func(i int)) time.Duration {
 	next := q.params.Deadline
 	if !q.params.Idempotent {
 		return next
@@ -244,7 +244,7 @@
 		if s.answered || s.lost || s.denied || s.out == 0 || s.attempts >= q.params.MaxAttempts {
 			continue
 		}
-		due := s.lastSent + after
+		due := s.lastSent + after(i)
 		if now >= due {
 			send(i)
 			continue
--- a/policy/gather/hedge.go
+++ b/policy/gather/hedge.go
@@ -17,17 +17,43 @@
 	// hedgeObjectiveShare of the objective is the wait while too little is known,
 	// and the longest wait: a hedge sent later could not answer inside the objective.
 	hedgeObjectiveShare = 0.5
+	// scarceFrom is the share of the budget that may be used before hedges wait for the
+	// last moment.
+	scarceFrom = 0.75
 	// minHedge keeps hedges of very short requests apart from timer noise.
 	minHedge = 8 * time.Millisecond
 )
 
-// HedgeAfter returns how long an attempt may be out before another replica is asked
-// too. recent are the latencies of first attempts of the class.
-func HedgeAfter(recent *hedge.Quantile, objective time.Duration) time.Duration {
+// Hedging says how long an attempt may be out before another replica is asked too.
+type Hedging struct {
+	// earliest is when the attempt is late beside others of its class, and latest when a
+	// hedge can still answer inside the objective.
+	earliest, latest time.Duration
+}
+
+// NewHedging works it out for a class. recent are the latencies of its first attempts.
+func NewHedging(recent *hedge.Quantile, objective time.Duration) Hedging {
 	longest := time.Duration(hedgeObjectiveShare * float64(objective))
 	if recent.Count() < hedgeSamples {
-		return max(minHedge, longest)
+		due := max(minHedge, longest)
+		return Hedging{earliest: due, latest: due}
 	}
-	due := time.Duration(hedgeFactor * float64(recent.At(hedgeQuantile)))
-	return max(minHedge, min(due, longest))
+	usual := time.Duration(hedgeFactor * float64(recent.At(hedgeQuantile)))
+	earliest := max(minHedge, min(usual, longest))
+	// A hedge takes about as long as earliest itself; as much again is left for others
+	// that are ahead of it.
+	return Hedging{earliest: earliest, latest: max(earliest, min(longest, objective-2*earliest))}
+}
+
+// After returns the wait before a hedge while a share, 0 to 1, of the budget for hedges is
+// used.
+//
+// Failure: replicas of many shards turn slow, and attempts that would have answered in
+// time are hedged as soon as they are late beside others. Symptom: the budget for extra
+// requests is spent, and attempts at replicas that stand still get no hedge. The more of
+// the budget is used, the closer hedges move to the last moment that helps, so that what
+// is left goes to attempts that need it.
+func (h Hedging) After(used float64) time.Duration {
+	put := min(max(used, 0)/scarceFrom, 1)
+	return h.earliest + time.Duration(put*float64(h.latest-h.earliest))
 }
--- a/policy/retrybudget/retrybudget.go
+++ b/policy/retrybudget/retrybudget.go
@@ -62,6 +62,15 @@
 // TakeSpare is Take for a request that need not be sent.
 func (b *Budget) TakeSpare(now time.Time, size float64) bool { return b.take(now, size, spareShare) }
 
+// SpareUsed returns the share, 0 to 1, of what TakeSpare may grant now that is used.
+func (b *Budget) SpareUsed(now time.Time, size float64) float64 {
+	granted := spareShare * b.allowed(now, b.advance(now), size)
+	if granted < 1 {
+		return 1
+	}
+	return min(1, float64(b.spent())/granted)
+}
+
 func (b *Budget) take(now time.Time, size, share float64) bool {
 	i := b.advance(now)
 	if float64(b.spent()+1) > share*b.allowed(now, i, size) {
