Bound a crowded replica's queue, and keep the usual latency through an overload

Cause: above a shard's capacity every node filled its two places at each replica, so that answers had waited 88 ms of an objective of 88; and the usual latency, which rose with each sample, followed the queues within a second, so that nothing saw them. Change: a replica that takes three times the usual gets half of a node's places, rounded up; the usual latency rises by 2% a second at most however many samples come.

--- a/policy/upstream/upstream.go
+++ b/policy/upstream/upstream.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// expectedWeight of a new sample in a class's expected latency, which must not
-	// follow a stretch of slow replicas.
-	expectedWeight = 0.02
 	// failureWeight of a new outcome in a replica's failure rate, and the time in
 	// which half of that is forgotten.
 	failureWeight = 0.25
@@ -31,6 +28,9 @@
 	// centres are dear. A replica next door that stands still, or has four requests of
 	// this node, costs more.
 	awayCost = 2.0
+	// crowdedFrom is the slowness from which a replica counts as having more to do than
+	// it can.
+	crowdedFrom = 3.0
 	// jitter spreads the choices of many nodes that see the same.
 	jitter = 0.25
 	// coldCost is how much slower a replica is expected to be while it is cold.
@@ -40,10 +40,6 @@
 	// minPause and maxPause bound how long a replica that fails rests.
 	minPause = 250 * time.Millisecond
 	maxPause = 3 * time.Second
-	// defaultExpected stands in for a class without a sample.
-	defaultExpected = 20 * time.Millisecond
-	// minExpected keeps ratios meaningful for very short requests.
-	minExpected = 2 * time.Millisecond
 )
 
 // Result is how an attempt at a replica ended.
@@ -97,13 +93,13 @@
 	rng      *rand.Rand
 	states   map[string]*State
 	usable   []*State
-	expected map[string]time.Duration
+	expected map[string]*usual
 	nextID   uint64
 }
 
 // NewSet returns an empty set.
 func NewSet(rng *rand.Rand) *Set {
-	return &Set{rng: rng, states: make(map[string]*State), expected: make(map[string]time.Duration)}
+	return &Set{rng: rng, states: make(map[string]*State), expected: make(map[string]*usual)}
 }
 
 // Keep replaces the usable replicas. What is known of those that stay is kept; a new
@@ -152,7 +148,7 @@
 // bears reports whether the replica may get one more request now. A request that need
 // not be sent goes to none that is cold or at a standstill.
 func (st *State) bears(now time.Time, q Request) bool {
-	if len(st.out) >= q.ConnectionsEach {
+	if len(st.out) >= st.room(now, q) {
 		return false
 	}
 	if q.Spare && st.stalled(now) {
@@ -195,6 +191,20 @@
 	return best
 }
 
+// room is how many requests of this node the replica may have out.
+//
+// Failure: callers ask for more of a shard than it can serve, and every node fills its
+// places at each replica. Symptom: what is answered has waited in a full queue and comes
+// too late for most, so that the replicas work at their limit and serve nobody. Half of
+// the places at a replica that takes several times the usual keep its queue inside the
+// objective; the rest is turned away at once.
+func (st *State) room(now time.Time, q Request) int {
+	if st.slowness.at(now) < crowdedFrom {
+		return q.ConnectionsEach
+	}
+	return (q.ConnectionsEach + 1) / 2
+}
+
 func (st *State) isCold(now time.Time) bool {
 	return now.Before(st.Replica.ColdUntil)
 }
@@ -246,10 +256,10 @@
 
 // Expected returns the usual latency of a class at this service.
 func (s *Set) Expected(class string) time.Duration {
-	if d, ok := s.expected[class]; ok {
-		return max(d, minExpected)
+	if u := s.expected[class]; u != nil {
+		return max(u.latency, minUsual)
 	}
-	return defaultExpected
+	return defaultUsual
 }
 
 // Sent counts a request that goes to the picked replica and returns its handle for
@@ -333,14 +343,14 @@
 }
 
 func (s *Set) observe(now, sent time.Time, st *State, sample Sample) {
-	expected, known := s.expected[sample.Class]
-	if !known {
-		s.expected[sample.Class] = sample.Took
-		expected = sample.Took
+	u := s.expected[sample.Class]
+	if u == nil {
+		u = &usual{}
+		u.observe(now, sample.Took)
+		s.expected[sample.Class] = u
 	}
-	st.slowness.observe(now, sent, float64(sample.Took)/float64(max(expected, minExpected)))
+	st.slowness.observe(now, sent, u.ratio(sample.Took))
 	if !st.isCold(now) {
-		bounded := min(sample.Took, 3*expected)
-		s.expected[sample.Class] = expected + time.Duration(expectedWeight*float64(bounded-expected))
+		u.observe(now, sample.Took)
 	}
 }
--- /dev/null
+++ b/policy/upstream/usual.go
@@ -0,0 +1,43 @@
+package upstream
+
+import "time"
+
+const (
+	// usualWeight of a new sample in a class's usual latency.
+	usualWeight = 0.02
+	// maxRise is how much the usual latency may rise in a second, as a share of itself.
+	maxRise = 0.02
+	// maxUsualRatio bounds what a single sample counts for.
+	maxUsualRatio = 3
+	// defaultUsual stands in for a class without a sample.
+	defaultUsual = 20 * time.Millisecond
+	// minUsual keeps ratios meaningful for very short requests.
+	minUsual = 2 * time.Millisecond
+)
+
+// usual estimates the latency of a class at a service that is well.
+//
+// Failure: callers ask for more of a service than it can serve, for seconds. Symptom: the
+// estimate follows the queues, all replicas seem as fast as ever, and no decision that
+// goes by it sees the overload. It falls with each sample and rises slowly however many
+// come.
+type usual struct {
+	latency time.Duration
+	at      time.Time
+}
+
+func (u *usual) observe(now time.Time, took time.Duration) {
+	if u.at.IsZero() {
+		u.latency, u.at = took, now
+		return
+	}
+	step := usualWeight * float64(min(took, maxUsualRatio*u.latency)-u.latency)
+	since := min(now.Sub(u.at).Seconds(), 1)
+	u.latency += time.Duration(min(step, maxRise*since*float64(max(u.latency, minUsual))))
+	u.at = now
+}
+
+// ratio returns a latency as a multiple of the usual one.
+func (u *usual) ratio(took time.Duration) float64 {
+	return float64(took) / float64(max(u.latency, minUsual))
+}
