Split the choice of a replica by what ends attempts; one name for the usual latency

Cause: upstream.go held the estimates, the choice, rests and failures in one file, and called a class's usual latency expected in one half of it. Change: outcome.go takes the ends of attempts, with rests and failure rates; usual.go and slowness.go hold the estimates. No behaviour changes. Measured: tests of policy/upstream pass.

--- a/policy/upstream/upstream.go
+++ b/policy/upstream/upstream.go
@@ -11,17 +11,13 @@
 )
 
 const (
-	// failureWeight of a new outcome in a replica's failure rate, and the time in
-	// which half of that is forgotten.
-	failureWeight = 0.25
-	forgetFailure = 2 * time.Second
-	// failureCost is how much a failure costs in units of an expected latency: a
+	// failureCost is how much a failure costs in units of the usual latency: a
 	// retry and the wait before it, and a part of the extra-request budget.
 	failureCost = 8
-	// stalledAfter is the multiple of a class's expected latency after which a
+	// stalledAfter is the multiple of a class's usual latency after which a
 	// request that is still out tells that its replica stands still.
 	stalledAfter = 2.0
-	// queueCost is the share of an expected latency that each request in flight from
+	// queueCost is the share of the usual latency that each request in flight from
 	// this node adds.
 	queueCost = 0.5
 	// awayCost is added for a replica in another data centre, since bytes between data
@@ -35,32 +31,6 @@
 	jitter = 0.25
 	// coldCost is how much slower a replica is expected to be while it is cold.
 	coldCost = 1.6
-	// restAfter is how many failures in a row make a replica rest that can be reached.
-	restAfter = 4
-	// minPause and maxPause bound how long a replica that fails rests.
-	minPause = 250 * time.Millisecond
-	maxPause = 3 * time.Second
-)
-
-// Result is how an attempt at a replica ended.
-type Result int
-
-// Results of attempts.
-const (
-	// Answered: the replica gave a complete answer of success.
-	Answered Result = iota
-	// Refused: the replica stated that it did not run the request.
-	Refused
-	// Failed: the replica answered with a failure of its own, or spoilt the answer.
-	Failed
-	// Broken: the connection was lost while the request was on it.
-	Broken
-	// Unreachable: no connection could be opened.
-	Unreachable
-	// Abandoned: nobody waits for the answer any more.
-	Abandoned
-	// Elsewhere: another replica answered at the address, so that this one is gone.
-	Elsewhere
 )
 
 // State is what this node knows of one replica.
@@ -83,23 +53,23 @@
 
 // attempt is a request that is out at a replica.
 type attempt struct {
-	id       uint64
-	sent     time.Time
-	expected time.Duration
+	id    uint64
+	sent  time.Time
+	usual time.Duration
 }
 
 // Set is what this node knows of one service. Not safe for concurrent use.
 type Set struct {
-	rng      *rand.Rand
-	states   map[string]*State
-	usable   []*State
-	expected map[string]*usual
-	nextID   uint64
+	rng    *rand.Rand
+	states map[string]*State
+	usable []*State
+	usual  map[string]*usual
+	nextID uint64
 }
 
 // NewSet returns an empty set.
 func NewSet(rng *rand.Rand) *Set {
-	return &Set{rng: rng, states: make(map[string]*State), expected: make(map[string]*usual)}
+	return &Set{rng: rng, states: make(map[string]*State), usual: make(map[string]*usual)}
 }
 
 // Keep replaces the usable replicas. What is known of those that stay is kept; a new
@@ -209,7 +179,7 @@
 	return now.Before(st.Replica.ColdUntil)
 }
 
-// cost estimates the latency at a replica in units of the class's expected one.
+// cost estimates the latency at a replica in units of the class's usual one.
 func (s *Set) cost(now time.Time, st *State, q Request) float64 {
 	slow := st.slowness.at(now)
 	if st.isCold(now) {
@@ -217,7 +187,7 @@
 	}
 	cost := slow * (1 + queueCost*float64(len(st.out)))
 	for _, a := range st.out {
-		if age := float64(now.Sub(a.sent)) / float64(a.expected); age > stalledAfter {
+		if age := float64(now.Sub(a.sent)) / float64(a.usual); age > stalledAfter {
 			cost += age
 		}
 	}
@@ -232,17 +202,13 @@
 // still or is gone.
 func (st *State) stalled(now time.Time) bool {
 	for _, a := range st.out {
-		if now.Sub(a.sent) > time.Duration(2*stalledAfter*float64(a.expected)) {
+		if now.Sub(a.sent) > time.Duration(2*stalledAfter*float64(a.usual)) {
 			return true
 		}
 	}
 	return false
 }
 
-func (st *State) failureRate(now time.Time) float64 {
-	return st.failures * decay(now.Sub(st.failedAt), forgetFailure)
-}
-
 // Waiting calls f for each attempt that has been out for longer than age.
 func (s *Set) Waiting(now time.Time, age time.Duration, f func(r *registry.Replica)) {
 	for _, st := range s.usable {
@@ -254,9 +220,9 @@
 	}
 }
 
-// Expected returns the usual latency of a class at this service.
-func (s *Set) Expected(class string) time.Duration {
-	if u := s.expected[class]; u != nil {
+// Usual returns the usual latency of a class at this service.
+func (s *Set) Usual(class string) time.Duration {
+	if u := s.usual[class]; u != nil {
 		return max(u.latency, minUsual)
 	}
 	return defaultUsual
@@ -266,7 +232,7 @@
 // Done or Unsent.
 func (s *Set) Sent(now time.Time, st *State, q Request) uint64 {
 	s.nextID++
-	st.out = append(st.out, attempt{id: s.nextID, sent: now, expected: s.Expected(q.Class)})
+	st.out = append(st.out, attempt{id: s.nextID, sent: now, usual: s.Usual(q.Class)})
 	if st.isCold(now) && q.ColdPerSecond >= 0 {
 		st.cold.take(now, q.ColdPerSecond)
 	}
@@ -277,80 +243,3 @@
 func (s *Set) Unsent(st *State, handle uint64) {
 	st.remove(handle)
 }
-
-// remove forgets an attempt that is out, and returns when it was sent.
-func (st *State) remove(handle uint64) (sent time.Time) {
-	for i, a := range st.out {
-		if a.id == handle {
-			st.out = append(st.out[:i], st.out[i+1:]...)
-			return a.sent
-		}
-	}
-	return time.Time{}
-}
-
-// Sample is the end of an attempt.
-type Sample struct {
-	Handle uint64
-	Class  string
-	Took   time.Duration
-	Result Result
-}
-
-// Done takes the end of an attempt.
-func (s *Set) Done(now time.Time, st *State, sample Sample) {
-	sent := st.remove(sample.Handle)
-	switch sample.Result {
-	case Answered:
-		s.observe(now, sent, st, sample)
-		st.failed(now, 0)
-		st.streak = 0
-		st.pauseUntil = time.Time{}
-	case Refused:
-		st.failed(now, 1)
-	case Failed, Broken:
-		// A replica that loses some of its answers still gives the others: it is
-		// avoided by its failure rate, and rests only when nothing else comes.
-		st.failed(now, 1)
-		st.rest(now, restAfter)
-	case Unreachable:
-		st.failed(now, 1)
-		st.rest(now, 1)
-	case Elsewhere:
-		st.gone = true
-	case Abandoned:
-		// The answer took at least this long; a shorter wait tells nothing.
-		expected := s.Expected(sample.Class)
-		if sample.Took > time.Duration(stalledAfter*float64(expected)) {
-			st.slowness.observe(now, sent, float64(sample.Took)/float64(expected))
-		}
-	}
-}
-
-// rest pauses the replica once so many failures came in a row.
-func (st *State) rest(now time.Time, after int) {
-	st.streak++
-	if st.streak < after {
-		return
-	}
-	pause := minPause << min(st.streak-after, 4)
-	st.pauseUntil = now.Add(min(pause, maxPause))
-}
-
-func (st *State) failed(now time.Time, outcome float64) {
-	st.failures = st.failureRate(now) + failureWeight*(outcome-st.failureRate(now))
-	st.failedAt = now
-}
-
-func (s *Set) observe(now, sent time.Time, st *State, sample Sample) {
-	u := s.expected[sample.Class]
-	if u == nil {
-		u = &usual{}
-		u.observe(now, sample.Took)
-		s.expected[sample.Class] = u
-	}
-	st.slowness.observe(now, sent, u.ratio(sample.Took))
-	if !st.isCold(now) {
-		u.observe(now, sample.Took)
-	}
-}
