Let the usual latency settle before its rise is bounded

Cause: the estimate began with one sample and rose by 2% a second at most, so that a node whose first request was answered fast took all others for slow for most of a minute. Change: the bound holds once the estimate rests on 50 samples, as many as it weighs. Tests: an untypical first answer is forgotten within a second; eight seconds of eightfold latencies leave what is usual, two minutes of them are learnt.

--- a/policy/upstream/usual.go
+++ b/policy/upstream/usual.go
@@ -5,8 +5,10 @@
 const (
 	// usualWeight of a new sample in a class's usual latency.
 	usualWeight = 0.02
-	// maxRise is how much the usual latency may rise in a second, as a share of itself.
-	maxRise = 0.02
+	// maxRise is how much the usual latency may rise in a second, as a share of itself,
+	// once it rests on settledAfter samples.
+	maxRise      = 0.02
+	settledAfter = 50
 	// maxUsualRatio bounds what a single sample counts for.
 	maxUsualRatio = 3
 	// defaultUsual stands in for a class without a sample.
@@ -24,17 +26,21 @@
 type usual struct {
 	latency time.Duration
 	at      time.Time
+	samples int
 }
 
 func (u *usual) observe(now time.Time, took time.Duration) {
-	if u.at.IsZero() {
-		u.latency, u.at = took, now
-		return
+	if u.samples == 0 {
+		u.latency = took
 	}
 	step := usualWeight * float64(min(took, maxUsualRatio*u.latency)-u.latency)
-	since := min(now.Sub(u.at).Seconds(), 1)
-	u.latency += time.Duration(min(step, maxRise*since*float64(max(u.latency, minUsual))))
+	if u.samples >= settledAfter {
+		since := min(now.Sub(u.at).Seconds(), 1)
+		step = min(step, maxRise*since*float64(max(u.latency, minUsual)))
+	}
+	u.latency += time.Duration(step)
 	u.at = now
+	u.samples++
 }
 
 // ratio returns a latency as a multiple of the usual one.
--- /dev/null
+++ b/policy/upstream/usual_test.go
@@ -0,0 +1,43 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/carobmill/carobmill/policy/upstream"
+)
+
+// answers plays that many answers of a latency, an interval apart, and returns the time of
+// the last.
+func answers(set *upstream.Set, now time.Time, n int, every, took time.Duration) time.Time {
+	for range n {
+		now = now.Add(every)
+		serve(set, now, request(), took, upstream.Answered)
+	}
+	return now
+}
+
+// A node's first request is answered much faster than most. What is usual must not rest on
+// it: a second later the others count as usual.
+func TestUsualLatencyForgetsAnUntypicalStart(t *testing.T) {
+	c := qt.New(t)
+	set, _, now := fleet(1)
+	now = answers(set, now, 1, 10*time.Millisecond, 5*time.Millisecond)
+	answers(set, now, 100, 10*time.Millisecond, 20*time.Millisecond)
+	c.Assert(set.Usual(class) >= 12*time.Millisecond, qt.IsTrue, qt.Commentf("%v", set.Usual(class)))
+}
+
+// For eight seconds answers take eight times as long, a hundred of them a second. What is
+// usual stays, or nothing would tell that the service has more to do than it can; of work
+// that stays longer it learns within a minute or two.
+func TestUsualLatencyOutlivesAnOverload(t *testing.T) {
+	c := qt.New(t)
+	set, _, now := fleet(1)
+	now = answers(set, now, 200, 10*time.Millisecond, 10*time.Millisecond)
+	now = answers(set, now, 800, 10*time.Millisecond, 80*time.Millisecond)
+	c.Assert(set.Usual(class) <= 13*time.Millisecond, qt.IsTrue, qt.Commentf("%v", set.Usual(class)))
+	answers(set, now, 12000, 10*time.Millisecond, 80*time.Millisecond)
+	c.Assert(set.Usual(class) >= 70*time.Millisecond, qt.IsTrue, qt.Commentf("%v", set.Usual(class)))
+}
