Tests of the usual latency: one interval, no unused field

Cause: the linter found a parameter that is always the same; a field was never read. Change: a constant in place of the parameter; the field is gone. Nothing is checked less.

--- a/policy/upstream/goodput_test.go
+++ b/policy/upstream/goodput_test.go
@@ -27,12 +27,11 @@
 
 // exchange is a request at a replica.
 type exchange struct {
-	node    int
-	st      *upstream.State
-	handle  uint64
-	sent    time.Duration
-	replica int
-	ends    time.Duration
+	node   int
+	st     *upstream.State
+	handle uint64
+	sent   time.Duration
+	ends   time.Duration
 }
 
 // byEnd orders exchanges by their end.
@@ -113,7 +112,7 @@
 	ends := max(s.at, s.free[replica][slot]) + work
 	s.free[replica][slot] = ends
 	handle := s.sets[node].Sent(now, st, q)
-	heap.Push(&s.out, &exchange{node: node, st: st, handle: handle, sent: s.at, replica: replica, ends: ends})
+	heap.Push(&s.out, &exchange{node: node, st: st, handle: handle, sent: s.at, ends: ends})
 }
 
 // end ends the exchanges that are over and returns how many were inside the objective.
--- a/policy/upstream/usual_test.go
+++ b/policy/upstream/usual_test.go
@@ -9,11 +9,13 @@
 	"github.com/carobmill/carobmill/policy/upstream"
 )
 
-// answers plays that many answers of a latency, an interval apart, and returns the time of
-// the last.
-func answers(set *upstream.Set, now time.Time, n int, every, took time.Duration) time.Time {
+// interval is the time between two answers.
+const interval = 10 * time.Millisecond
+
+// answers plays that many answers of a latency and returns the time of the last.
+func answers(set *upstream.Set, now time.Time, n int, took time.Duration) time.Time {
 	for range n {
-		now = now.Add(every)
+		now = now.Add(interval)
 		serve(set, now, request(), took, upstream.Answered)
 	}
 	return now
@@ -24,8 +26,8 @@
 func TestUsualLatencyForgetsAnUntypicalStart(t *testing.T) {
 	c := qt.New(t)
 	set, _, now := fleet(1)
-	now = answers(set, now, 1, 10*time.Millisecond, 5*time.Millisecond)
-	answers(set, now, 100, 10*time.Millisecond, 20*time.Millisecond)
+	now = answers(set, now, 1, 5*time.Millisecond)
+	answers(set, now, 100, 20*time.Millisecond)
 	c.Assert(set.Usual(class) >= 12*time.Millisecond, qt.IsTrue, qt.Commentf("%v", set.Usual(class)))
 }
 
@@ -35,9 +37,9 @@
 func TestUsualLatencyOutlivesAnOverload(t *testing.T) {
 	c := qt.New(t)
 	set, _, now := fleet(1)
-	now = answers(set, now, 200, 10*time.Millisecond, 10*time.Millisecond)
-	now = answers(set, now, 800, 10*time.Millisecond, 80*time.Millisecond)
+	now = answers(set, now, 200, 10*time.Millisecond)
+	now = answers(set, now, 800, 80*time.Millisecond)
 	c.Assert(set.Usual(class) <= 13*time.Millisecond, qt.IsTrue, qt.Commentf("%v", set.Usual(class)))
-	answers(set, now, 12000, 10*time.Millisecond, 80*time.Millisecond)
+	answers(set, now, 12000, 80*time.Millisecond)
 	c.Assert(set.Usual(class) >= 70*time.Millisecond, qt.IsTrue, qt.Commentf("%v", set.Usual(class)))
 }
