Probe idle data centres while another one is out of reach

Cause: a node that is cut off refuses gathers for want of shards before it sends anything, so that a data centre which gets little else is never found silent and the node never counts as isolated. One coordinator that believes itself well keeps all nodes of its data centre ready.

Change: while a data centre is out of reach, each one that was silent for 200 ms is probed by connections to two of its replicas; failed probes count as silent attempts. A node on the smaller side of a cut whose reachable replicas hold too few shards for every gathering route is isolated too.

--- a/node/forward/reach.go
+++ b/node/forward/reach.go
@@ -21,11 +21,11 @@
 
 const (
 	// reachInterval is how often it is judged which data centres are out of reach,
-	// and each of those is tried again.
+	// and probes are sent.
 	reachInterval = 200 * time.Millisecond
-	// reachTimeout bounds such a try; a connection inside a region takes two
+	// probeTimeout bounds a probe; a connection inside a region takes two
 	// milliseconds.
-	reachTimeout = 150 * time.Millisecond
+	probeTimeout = 150 * time.Millisecond
 	// silentAfter is the age from which an attempt that nobody waits for any more
 	// tells that its replica was silent.
 	silentAfter = 200 * time.Millisecond
@@ -52,6 +52,7 @@
 	mu       sync.Mutex
 	tracker  *reach.Tracker
 	replicas map[string][]*registry.Replica
+	view     *directory.View
 }
 
 func newReachability(own string, client *backend.Client, log logrus.FieldLogger) *reachability {
@@ -72,7 +73,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.replicas = replicas
+	r.replicas, r.view = replicas, v
 	r.tracker.Keep(time.Now(), names)
 }
 
@@ -106,24 +107,22 @@
 		case <-ticker.C:
 		}
 		for _, p := range r.judge() {
-			go r.try(ctx, p)
+			go r.probe(ctx, p)
 		}
 	}
 }
 
-// probe is a data centre to try and the replica to try it by.
-type probe struct {
-	centre  string
-	address string
-}
+// probesEach is how many replicas of a data centre are probed in one round. One that is
+// down must not stand for its data centre.
+const probesEach = 2
 
-// judge publishes the judgement and returns what to try.
+// judge publishes the judgement and returns the replicas to probe.
 //
 // Failure: the process stood still, and on waking finds every attempt old and every
 // data centre silent, though their answers lie in its sockets. Symptom: all requests of
 // the next round are refused. A round that comes late judges nothing; by the next one
 // the answers have been read.
-func (r *reachability) judge() []probe {
+func (r *reachability) judge() []*registry.Replica {
 	now := time.Now()
 	late := now.Sub(r.last) > 2*reachInterval
 	r.last = now
@@ -132,12 +131,10 @@
 	}
 	waiting := r.waiting(now, silentAfter)
 	r.mu.Lock()
-	next := r.tracker.Judge(now, waiting)
-	var probes []probe
-	for name := range next.Out {
-		if list := r.replicas[name]; len(list) > 0 {
-			probes = append(probes, probe{centre: name, address: list[rand.IntN(len(list))].Address})
-		}
+	next := r.tracker.Judge(now, waiting, r.sufficient)
+	var probes []*registry.Replica
+	for _, name := range next.Probe {
+		probes = append(probes, sample(r.replicas[name], probesEach)...)
 	}
 	r.mu.Unlock()
 	previous := r.judged.Swap(&next)
@@ -149,16 +146,40 @@
 	return probes
 }
 
-// try opens a connection to a replica of a data centre that is out of reach.
-func (r *reachability) try(ctx context.Context, p probe) {
-	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
-	defer cancel()
-	if !r.backend.Reachable(ctx, p.address) {
-		return
+// sufficient reports whether gathered requests can be answered without the given data
+// centres. r.mu is held.
+func (r *reachability) sufficient(out map[string]bool) bool {
+	if r.view == nil {
+		return true
+	}
+	return r.view.Index.CanGather(func(service string) bool {
+		return slices.ContainsFunc(r.view.Replicas[service], func(replica *registry.Replica) bool {
+			return !out[replica.DataCentre]
+		})
+	})
+}
+
+// sample returns up to n of the replicas.
+func sample(replicas []*registry.Replica, n int) []*registry.Replica {
+	picked := make([]*registry.Replica, 0, n)
+	for _, i := range rand.Perm(len(replicas))[:min(n, len(replicas))] {
+		picked = append(picked, replicas[i])
 	}
+	return picked
+}
+
+// probe opens a connection to a replica, to see whether its data centre is in reach.
+func (r *reachability) probe(ctx context.Context, replica *registry.Replica) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	reached := r.backend.Reachable(ctx, replica.Address)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tracker.Answered(time.Now(), p.centre)
+	if reached {
+		r.tracker.Answered(time.Now(), replica.DataCentre)
+	} else {
+		r.tracker.Silent(replica.DataCentre, replica.ID)
+	}
 }
 
 // waiting returns the attempts of all services that have been out for longer than age.
--- a/policy/reach/reach.go
+++ b/policy/reach/reach.go
@@ -3,7 +3,10 @@
 // cut once for a whole data centre, instead of once for each replica behind it.
 package reach
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// silentFor is how long no replica of a data centre may have answered before it
@@ -19,6 +22,9 @@
 	// reach for the node to count as isolated: with one, it may be the other side
 	// that is cut off.
 	isolatedFrom = 2
+	// quietFor is how long a data centre may have been silent before it is probed while
+	// another one is out of reach.
+	quietFor = 200 * time.Millisecond
 )
 
 // Tracker is what one node knows. Not safe for concurrent use.
@@ -87,13 +93,19 @@
 type Judgement struct {
 	// Out holds the data centres that are out of reach.
 	Out map[string]bool
-	// Isolated is set when every other data centre is out of reach. Callers are then
-	// better served by other nodes.
+	// Isolated is set when every other data centre is out of reach, or most are and what
+	// is left can answer too little. Callers are then better served by other nodes.
 	Isolated bool
+	// Probe lists the data centres that need a probe: those out of reach, and those that
+	// were silent for a while although another one is out of reach. Requests that are
+	// refused for want of shards reach nobody, so that without probes an idle link
+	// would count as working for as long as a cut lasts.
+	Probe []string
 }
 
 // Judge weighs the attempts that ended without an answer and those that still wait.
-func (t *Tracker) Judge(now time.Time, waiting []Waiting) Judgement {
+// sufficient reports whether requests can be answered without the given data centres.
+func (t *Tracker) Judge(now time.Time, waiting []Waiting, sufficient func(out map[string]bool) bool) Judgement {
 	attempts := make(map[string]int)
 	replicas := make(map[string]map[string]bool)
 	for _, w := range waiting {
@@ -103,25 +115,57 @@
 		}
 		replicas[w.DataCentre][w.Replica] = true
 	}
-	j := Judgement{}
-	others, reached := 0, false
+	j := Judgement{Out: make(map[string]bool)}
 	for name, c := range t.centres {
 		if c.out(now, attempts[name], replicas[name]) {
-			if j.Out == nil {
-				j.Out = make(map[string]bool)
-			}
 			j.Out[name] = true
-		} else if name != t.own {
-			reached = true
-		}
-		if name != t.own {
-			others++
 		}
 	}
-	j.Isolated = !reached && others >= isolatedFrom
+	j.Isolated = t.isolated(j.Out, sufficient)
+	j.Probe = t.probes(now, j.Out)
 	return j
 }
 
+// isolated reports whether callers are better served elsewhere.
+func (t *Tracker) isolated(out map[string]bool, sufficient func(out map[string]bool) bool) bool {
+	others, unreachable := 0, 0
+	for name := range t.centres {
+		if name == t.own {
+			continue
+		}
+		others++
+		if out[name] {
+			unreachable++
+		}
+	}
+	reachable := others - unreachable
+	switch {
+	case others < isolatedFrom:
+		return false
+	case reachable == 0:
+		return true
+	case unreachable <= reachable+1:
+		// This node is on the larger side, or on one of two equal ones.
+		return false
+	}
+	return !sufficient(out)
+}
+
+// probes returns the data centres that need a probe, in order of name.
+func (t *Tracker) probes(now time.Time, out map[string]bool) []string {
+	if len(out) == 0 {
+		return nil
+	}
+	var names []string
+	for name, c := range t.centres {
+		if out[name] || name != t.own && now.Sub(c.answered) >= quietFor {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // out reports whether the data centre is out of reach, with the attempts that wait
 // beside those that have ended.
 func (c *centre) out(now time.Time, waiting int, replicas map[string]bool) bool {
--- a/policy/reach/reach_test.go
+++ b/policy/reach/reach_test.go
@@ -17,6 +17,8 @@
 	return t
 }
 
+func sufficient(map[string]bool) bool { return true }
+
 // silence notes attempts at two replicas of each named data centre that got no answer.
 func silence(t *reach.Tracker, names ...string) {
 	for _, name := range names {
@@ -35,12 +37,12 @@
 	tr := tracker()
 	silence(tr, "b", "c", "d")
 	tr.Answered(begin.Add(400*time.Millisecond), "a")
-	c.Assert(tr.Judge(begin.Add(300*time.Millisecond), nil).Isolated, qt.IsFalse)
-	judged := tr.Judge(begin.Add(700*time.Millisecond), nil)
+	c.Assert(tr.Judge(begin.Add(300*time.Millisecond), nil, sufficient).Isolated, qt.IsFalse)
+	judged := tr.Judge(begin.Add(700*time.Millisecond), nil, sufficient)
 	c.Assert(judged.Isolated, qt.IsTrue)
 	c.Assert(judged.Out, qt.HasLen, 3)
 	tr.Answered(begin.Add(800*time.Millisecond), "c")
-	c.Assert(tr.Judge(begin.Add(900*time.Millisecond), nil).Isolated, qt.IsFalse)
+	c.Assert(tr.Judge(begin.Add(900*time.Millisecond), nil, sufficient).Isolated, qt.IsFalse)
 }
 
 // Another data centre loses its power. This node is not the one that is cut off, and
@@ -52,7 +54,7 @@
 	tr.Answered(begin.Add(time.Second), "c")
 	tr.Answered(begin.Add(time.Second), "d")
 	now := begin.Add(1100 * time.Millisecond)
-	judged := tr.Judge(now, nil)
+	judged := tr.Judge(now, nil, sufficient)
 	c.Assert(judged.Out, qt.DeepEquals, map[string]bool{"b": true})
 	c.Assert(judged.Isolated, qt.IsFalse)
 }
@@ -63,11 +65,11 @@
 	c := qt.New(t)
 	tr := tracker()
 	now := begin.Add(time.Hour)
-	c.Assert(tr.Judge(now, nil).Out, qt.HasLen, 0)
+	c.Assert(tr.Judge(now, nil, sufficient).Out, qt.HasLen, 0)
 	for range 100 {
 		tr.Silent("b", "b1")
 	}
-	c.Assert(tr.Judge(now, nil).Out, qt.HasLen, 0)
+	c.Assert(tr.Judge(now, nil, sufficient).Out, qt.HasLen, 0)
 }
 
 // Right after a cut every connection to the other side holds a request that waits, so
@@ -82,7 +84,49 @@
 			waiting = append(waiting, reach.Waiting{DataCentre: name, Replica: name + replica})
 		}
 	}
-	c.Assert(tr.Judge(begin.Add(300*time.Millisecond), waiting).Isolated, qt.IsFalse)
-	c.Assert(tr.Judge(begin.Add(500*time.Millisecond), waiting).Isolated, qt.IsTrue)
-	c.Assert(tr.Judge(begin.Add(500*time.Millisecond), waiting[:3]).Out, qt.HasLen, 0)
+	c.Assert(tr.Judge(begin.Add(300*time.Millisecond), waiting, sufficient).Isolated, qt.IsFalse)
+	c.Assert(tr.Judge(begin.Add(500*time.Millisecond), waiting, sufficient).Isolated, qt.IsTrue)
+	c.Assert(tr.Judge(begin.Add(500*time.Millisecond), waiting[:3], sufficient).Out, qt.HasLen, 0)
+}
+
+// TestIdleLinksDoNotHideACut guards against a cut-off data centre that stays ready since
+// requests refused for want of shards tell nothing of an idle data centre.
+func TestIdleLinksDoNotHideACut(t *testing.T) {
+	c := qt.New(t)
+	tr := tracker()
+	silence(tr, "b", "c")
+	now := begin.Add(500 * time.Millisecond)
+	judged := tr.Judge(now, nil, sufficient)
+	c.Assert(judged.Isolated, qt.IsFalse, qt.Commentf("d is idle, and may be in reach"))
+	c.Assert(judged.Probe, qt.DeepEquals, []string{"b", "c", "d"})
+	silence(tr, "d")
+	c.Assert(tr.Judge(now.Add(200*time.Millisecond), nil, sufficient).Isolated, qt.IsTrue)
+}
+
+// TestProbesWaitForACut guards against probes that cost connections while all is well.
+func TestProbesWaitForACut(t *testing.T) {
+	c := qt.New(t)
+	tr := tracker()
+	c.Assert(tr.Judge(begin.Add(time.Hour), nil, sufficient).Probe, qt.HasLen, 0)
+	now := begin.Add(time.Hour)
+	silence(tr, "b")
+	tr.Answered(now, "c")
+	c.Assert(tr.Judge(now, nil, sufficient).Probe, qt.DeepEquals, []string{"b", "d"})
+}
+
+// TestSmallerSideOfACutIsIsolated guards against two data centres that are cut off from
+// the rest together and keep their callers although they hold too few shards.
+func TestSmallerSideOfACutIsIsolated(t *testing.T) {
+	c := qt.New(t)
+	insufficient := func(map[string]bool) bool { return false }
+	for cut, isolated := range map[string]bool{"c": false, "cd": false, "cde": false, "cdef": true, "bcdef": true} {
+		tr := reach.New("a")
+		tr.Keep(begin, map[string]bool{"a": true, "b": true, "c": true, "d": true, "e": true, "f": true})
+		for _, name := range cut {
+			silence(tr, string(name))
+		}
+		now := begin.Add(500 * time.Millisecond)
+		c.Check(tr.Judge(now, nil, insufficient).Isolated, qt.Equals, isolated, qt.Commentf("cut off: %s", cut))
+		c.Check(tr.Judge(now, nil, sufficient).Isolated, qt.Equals, cut == "bcdef", qt.Commentf("cut off: %s", cut))
+	}
 }
--- a/policy/route/route.go
+++ b/policy/route/route.go
@@ -123,6 +123,35 @@
 	return nil
 }
 
+// CanGather reports whether the least coverage of any route that gathers can be had from
+// the services for which reachable holds. It is true where no route gathers.
+func (x *Index) CanGather(reachable func(service string) bool) bool {
+	gathers := false
+	for _, routes := range x.hosts {
+		for _, r := range routes {
+			if !r.Gathers() {
+				continue
+			}
+			gathers = true
+			if r.coverage(reachable) >= r.MinCoverage {
+				return true
+			}
+		}
+	}
+	return !gathers
+}
+
+// coverage is the share of the route's shards for which reachable holds.
+func (r *Route) coverage(reachable func(service string) bool) float64 {
+	n := 0
+	for _, shard := range r.Shards {
+		if reachable(shard) {
+			n++
+		}
+	}
+	return float64(n) / float64(len(r.Shards))
+}
+
 // HasRoute reports whether a route of that name exists.
 func (x *Index) HasRoute(name string) bool { return x.names[name] }
 
--- a/policy/route/route_test.go
+++ b/policy/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -59,3 +60,20 @@
 		c.Assert(s.Next(parts), qt.Equals, 1)
 	}
 }
+
+// TestCanGatherNeedsTheLeastCoverageOfOneRoute guards against nodes that keep callers
+// although no gathered answer can be had.
+func TestCanGatherNeedsTheLeastCoverageOfOneRoute(t *testing.T) {
+	c := qt.New(t)
+	x := route.NewIndex(&route.Configuration{Version: 1, Routes: []route.Route{
+		{Name: "one", Host: "a.example", Prefix: "/1/"},
+		{Name: "most", Host: "a.example", Prefix: "/2/", Shards: []string{"s0", "s1", "s2", "s3"}, MinCoverage: 0.75},
+		{Name: "all", Host: "a.example", Prefix: "/3/", Shards: []string{"s0", "s1", "s2", "s3"}, MinCoverage: 1},
+	}})
+	for reachable, want := range map[string]bool{"": false, "s0 s1": false, "s0 s1 s3": true, "s0 s1 s2 s3": true} {
+		got := x.CanGather(func(service string) bool { return strings.Contains(reachable, service) })
+		c.Check(got, qt.Equals, want, qt.Commentf("reachable: %s", reachable))
+	}
+	none := route.NewIndex(&route.Configuration{Version: 1, Routes: []route.Route{{Name: "one", Host: "a.example", Prefix: "/"}}})
+	c.Assert(none.CanGather(func(string) bool { return false }), qt.IsTrue)
+}
