Measure and carry what an answer needs on its way to the caller

Cause: 12 ms taken off every objective fit one deployment. A caller that opens a connection has used two round trips before the node counts, 13 ms on the large fleet; a relayed answer needs its way and the small VM's processor besides, so that answers given at the objective arrived just after it.

Change: a node takes the round trip of the caller's connection from the kernel, twice for the first request on it, and the delay of coordinators' answers from what it sees (answers state when they were due); both travel with a relayed request. Bounded by two fifths of the objective; releases that do not say get 12 ms as before.

--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -37,6 +37,10 @@
 	// caller waits from then on; 0 when the caller did not say.
 	Arrived  time.Time
 	Patience time.Duration
+	// Reserve is what of the route's objective is needed outside of the node that
+	// gathers: the caller's way and back, and the answer's way through other nodes; 0
+	// when it is not known.
+	Reserve time.Duration
 }
 
 // Outcome is how a request ended.
@@ -77,6 +81,8 @@
 	RetryAfter time.Duration
 	// Version of the configuration that the request was answered by; 0 without one.
 	Version uint64
+	// Due is when the answer was due to be given, after the arrival; 0 when unknown.
+	Due time.Duration
 }
 
 // Source is where a forwarder takes what is known from.
@@ -243,6 +249,7 @@
 	q := newRun(f, view, r, c, req)
 	a := q.serve(ctx)
 	a.Version = view.Index.Version
+	a.Due = q.due()
 	if f.opts.Record != nil {
 		f.opts.Record(r, &a, time.Since(req.Arrived))
 	}
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -14,10 +14,8 @@
 const (
 	// answerMargin is taken off the caller's patience, for the way of the answer.
 	answerMargin = 8 * time.Millisecond
-	// objectiveMargin is taken off a route's objective: callers count from their own
-	// first byte, some milliseconds away, and on a small VM an answer that is due waits
-	// as long again for the processor.
-	objectiveMargin = 12 * time.Millisecond
+	// lateTimer is how late the timer of an answer that is due may be.
+	lateTimer = 10 * time.Millisecond
 	// defaultPatience stands in for callers that do not say how long they wait and
 	// routes without a timeout.
 	defaultPatience = 30 * time.Second
@@ -42,8 +40,10 @@
 	// came.
 	outOfReach map[string]bool
 	deadline   time.Time
-	parts      []backend.ForwardReply
-	events     *work.Inbox[event]
+	// objective is when an answer has to be given to reach its caller within the route's.
+	objective time.Duration
+	parts     []backend.ForwardReply
+	events    *work.Inbox[event]
 	// ran is set once an attempt may have run at a replica.
 	ran bool
 	// last is the newest failure that a replica answered with, if any.
@@ -79,11 +79,12 @@
 		minCoverage = r.MinCoverage
 	}
 	attempts := max(r.MaxAttempts, 1)
+	q.objective = gather.DueWithin(r.Objective, req.Reserve)
 	q.query = gather.New(gather.Params{
 		Shards:      n,
 		MaxAttempts: attempts,
 		MinCoverage: minCoverage,
-		Objective:   max(r.Objective-objectiveMargin, 0),
+		Objective:   q.objective,
 		Deadline:    patience,
 		Idempotent:  r.Idempotent,
 	})
@@ -100,6 +101,15 @@
 
 func (q *run) since() time.Duration { return time.Since(q.req.Arrived) }
 
+// due returns when the answer that is given now was due: a timer may have been late.
+func (q *run) due() time.Duration {
+	now := q.since()
+	if q.objective > 0 && now > q.objective && now < q.objective+lateTimer {
+		return q.objective
+	}
+	return now
+}
+
 // serve carries the request to its answer.
 func (q *run) serve(ctx context.Context) Answer {
 	defer q.endAll()
@@ -173,7 +183,7 @@
 
 // hedges sends the hedges that are due and returns when the next one is.
 func (q *run) hedges() time.Duration {
-	hedging := q.class.hedging(q.route.Objective)
+	hedging := q.class.hedging(q.objective)
 	size := q.f.opts.Source.FleetSize()
 	after := func(i int) time.Duration {
 		return hedging.After(q.services[i].spareUsed(size))
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -137,6 +137,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnContext:       withCallerConn,
 	}
 	g.adminServer = &http.Server{
 		Handler: admin.NewHandler(admin.Options{
--- a/node/relay/exchange.go
+++ b/node/relay/exchange.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return result, err
 	}
-	if err := stream.Send(encode(req, r.leastVersion())); err != nil {
+	if err := stream.Send(encode(req, r.leastVersion(), r.reserve(req))); err != nil {
 		return result, err
 	}
 	for {
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/carobmill/carobmill/node/telemetry"
 	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/coordinator"
+	"github.com/carobmill/carobmill/policy/gather"
 )
 
 const (
@@ -69,6 +70,8 @@
 	// version is the newest configuration version that an answer was given by. A
 	// later request must not be answered by an older one.
 	version uint64
+	// delay is that of coordinators' answers on their way.
+	delay gather.Delay
 	// inFlight holds the requests that wait at a coordinator, by its name.
 	inFlight map[string]map[*call]bool
 }
@@ -179,6 +182,7 @@
 	switch {
 	case err == nil && result.answer != nil:
 		r.learn(result.answer.Version)
+		r.observeDelay(result.answer, req)
 		return *result.answer, true
 	case ctx.Err() != nil:
 		return forward.Answer{Outcome: forward.Late}, true
@@ -223,6 +227,23 @@
 	return defaultPatience
 }
 
+// reserve is what of a request's objective is needed outside of the coordinator.
+func (r *Relay) reserve(req *forward.Request) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return req.Reserve + r.delay.Estimate()
+}
+
+// observeDelay takes how long a coordinator's answer was on its way.
+func (r *Relay) observeDelay(a *forward.Answer, req *forward.Request) {
+	if a.Due == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay.Observe(time.Since(req.Arrived) - a.Due)
+}
+
 func (r *Relay) offered(node string, after time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -15,7 +15,7 @@
 )
 
 // encode makes the message of a request.
-func encode(req *forward.Request, leastVersion uint64) *pb.RelayMessage {
+func encode(req *forward.Request, leastVersion uint64, reserve time.Duration) *pb.RelayMessage {
 	return &pb.RelayMessage{Event: &pb.RelayMessage_Request{Request: &pb.RelayRequest{
 		RequestId:    []byte(req.ID),
 		Method:       []byte(req.Method),
@@ -26,6 +26,7 @@
 		ElapsedUs:    microseconds(time.Since(req.Arrived)),
 		PatienceUs:   microseconds(req.Patience),
 		LeastVersion: leastVersion,
+		ReserveUs:    microseconds(reserve),
 	}}}
 }
 
@@ -46,6 +47,7 @@
 		Body:     m.GetBody(),
 		Arrived:  now.Add(-duration(m.GetElapsedUs())),
 		Patience: duration(m.GetPatienceUs()),
+		Reserve:  duration(m.GetReserveUs()),
 	}
 }
 
@@ -79,6 +81,7 @@
 		Missing:      uint32(a.Missing),
 		RetryAfterUs: microseconds(a.RetryAfter),
 		Version:      a.Version,
+		DueUs:        microseconds(a.Due),
 	}
 }
 
@@ -92,6 +95,7 @@
 		Missing:    int(m.GetMissing()),
 		RetryAfter: duration(m.GetRetryAfterUs()),
 		Version:    m.GetVersion(),
+		Due:        duration(m.GetDueUs()),
 	}
 }
 
--- /dev/null
+++ b/policy/gather/reserve_test.go
@@ -0,0 +1,53 @@
+package gather_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/carobmill/carobmill/policy/gather"
+)
+
+// TestAnswersOfABusyNodeArriveInTime guards against answers that are given at the
+// objective and reach their callers just after it, once processors are busy.
+func TestAnswersOfABusyNodeArriveInTime(t *testing.T) {
+	c := qt.New(t)
+	const objective, way = 120 * ms, 12 * ms
+	rng := rand.New(rand.NewPCG(3, 4))
+	var delay gather.Delay
+	for _, load := range []struct{ least, spread time.Duration }{{1 * ms, 1 * ms}, {3 * ms, 10 * ms}, {1 * ms, 1 * ms}} {
+		late, early := 0, time.Duration(0)
+		const answers = 400
+		for i := range answers {
+			due := gather.DueWithin(objective, way+delay.Estimate())
+			took := load.least + time.Duration(rng.Int64N(int64(load.spread)))
+			delay.Observe(took)
+			if i < answers/2 {
+				continue
+			}
+			if due+took+way > objective {
+				late++
+			}
+			early += objective - way - took - due
+		}
+		c.Check(late*10 <= answers/2, qt.IsTrue, qt.Commentf("%d of %d answers are late at %v", late, answers/2, load))
+		mean := early / (answers / 2)
+		c.Check(mean < load.spread, qt.IsTrue, qt.Commentf("answers are given %v too early at %v", mean, load))
+	}
+}
+
+// TestReserveIsBounded guards against a delay or a faulty message that leaves no time to
+// gather in.
+func TestReserveIsBounded(t *testing.T) {
+	c := qt.New(t)
+	var delay gather.Delay
+	for range 100 {
+		delay.Observe(time.Hour)
+	}
+	c.Assert(delay.Estimate() <= 25*ms, qt.IsTrue)
+	c.Assert(gather.DueWithin(100*ms, time.Hour), qt.Equals, 60*ms)
+	c.Assert(gather.DueWithin(100*ms, 0), qt.Equals, 88*ms)
+	c.Assert(gather.DueWithin(0, 20*ms), qt.Equals, time.Duration(0))
+}
