--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -44,6 +44,7 @@
 	objective time.Duration
 	parts     []backend.ForwardReply
 	events    *work.Inbox[event]
+	hedging   gather.Hedging
 	// ran is set once an attempt may have run at a replica.
 	ran bool
 	// last is the newest failure that a replica answered with, if any.
@@ -80,6 +81,7 @@
 	}
 	attempts := max(r.MaxAttempts, 1)
 	q.objective = gather.DueWithin(r.Objective, req.Reserve)
+	q.hedging = c.hedging(q.objective)
 	q.query = gather.New(gather.Params{
 		Shards:      n,
 		MaxAttempts: attempts,
@@ -183,12 +185,12 @@
 
 // hedges sends the hedges that are due and returns when the next one is.
 func (q *run) hedges() time.Duration {
-	hedging := q.class.hedging(q.objective)
+	hedging := q.hedging
 	size := q.f.opts.Source.FleetSize()
 	after := func(i int) time.Duration {
 		return hedging.After(q.services[i].spareUsed(size))
 	}
-	return q.query.Hedges(q.since(), after, func(i int) {
+	return q.query.Hedges(q.since(), hedging.Earliest(), after, func(i int) {
 		if !q.send(i, true) {
 			q.query.GiveUp(i)
 			return
--- a/policy/gather/gather.go
+++ b/policy/gather/gather.go
@@ -232,9 +232,10 @@
 }
 
 // Hedges calls send for each shard whose attempt is due for a hedge: it has been out
-// for what after says, and another may be sent. It returns when the next one is due, or
-// the deadline.
-func (q *Query) Hedges(now time.Duration, after func(i int) time.Duration, send func(i int)) time.Duration {
+// for what after says, and another may be sent. It returns when to call it again, or the
+// deadline. after is called only for attempts that have been out for earliest, the
+// shortest time that it may say.
+func (q *Query) Hedges(now, earliest time.Duration, after func(i int) time.Duration, send func(i int)) time.Duration {
 	next := q.params.Deadline
 	if !q.params.Idempotent {
 		return next
@@ -244,7 +245,10 @@
 		if s.answered || s.lost || s.denied || s.out == 0 || s.attempts >= q.params.MaxAttempts {
 			continue
 		}
-		due := s.lastSent + after(i)
+		due := s.lastSent + earliest
+		if now >= due {
+			due = s.lastSent + max(after(i), earliest)
+		}
 		if now >= due {
 			send(i)
 			continue
--- a/policy/gather/gather_test.go
+++ b/policy/gather/gather_test.go
@@ -141,9 +141,9 @@
 		q.Sent(i, 30*ms)
 	}
 	after := func(int) time.Duration { return 30 * ms }
-	c.Assert(q.Hedges(10*ms, after, send), qt.Equals, 30*ms)
+	c.Assert(q.Hedges(10*ms, 30*ms, after, send), qt.Equals, 30*ms)
 	c.Assert(hedged, qt.HasLen, 0)
-	q.Hedges(30*ms, after, send)
+	q.Hedges(30*ms, 30*ms, after, send)
 	c.Assert(hedged, qt.DeepEquals, []int{9})
 	c.Assert(q.Failed(9, true), qt.IsFalse, qt.Commentf("both attempts are used"))
 	q.Settle(9)
@@ -161,7 +161,7 @@
 	p.Shards, p.MinCoverage, p.Idempotent = 1, 1, false
 	q := gather.New(p)
 	q.Sent(0, 0)
-	q.Hedges(time.Second, func(int) time.Duration { return ms }, func(int) { c.Fatal("hedged") })
+	q.Hedges(time.Second, ms, func(int) time.Duration { return ms }, func(int) { c.Fatal("hedged") })
 }
 
 // An attempt that reached no replica does not use up the attempts of its shard.
--- a/policy/gather/hedge.go
+++ b/policy/gather/hedge.go
@@ -45,6 +45,9 @@
 	return Hedging{earliest: earliest, latest: max(earliest, min(longest, objective-2*earliest))}
 }
 
+// Earliest returns the shortest wait before a hedge.
+func (h Hedging) Earliest() time.Duration { return h.earliest }
+
 // After returns the wait before a hedge while a share, 0 to 1, of the budget for hedges is
 // used.
 //
