Send the attempts of a gather for another data centre through a node there

Change: four or more first attempts for one data centre go in one message to a node there, which sends each once and returns the replies as they come, merged to the greatest records. The first node chooses the replicas and counts attempts, budgets and cold rates as before; hedges and retries go directly. A group of parts replaces what a hedge has answered, since its records cannot be told apart. A node that is silent for 90 ms, lost, or without news of the store gets no batch until a heartbeat has reached it; attempts that it did not send are sent directly and cost no budget. A receiver sends to replicas that it knows only.

--- a/node/forward/answer.go
+++ b/node/forward/answer.go
@@ -57,6 +57,7 @@
 		a.Signatures = append(a.Signatures, q.parts[i].Notes.Signature)
 		bodies = append(bodies, q.parts[i].Body)
 	}
+	bodies = append(bodies, q.groups...)
 	a.Body = gather.Greatest(bodies, q.route.TopRecords)
 	return a
 }
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -7,6 +7,7 @@
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/node/backend"
 	"github.com/carobmill/carobmill/policy/config"
+	"github.com/carobmill/carobmill/policy/registry"
 	"github.com/carobmill/carobmill/policy/upstream"
 )
 
@@ -71,23 +72,25 @@
 	}
 	q.story = append(q.story, step{
 		shard: i, replica: replica, at: at, hedge: request.Spare, extra: extra,
-		state: st, handle: handle, call: q.call(replica.ID, replica.Address),
+		state: st, handle: handle,
 	})
 	return true
 }
 
 // launch sends a reserved attempt.
 func (q *run) launch(number int) {
+	call := q.call(&q.story[number])
+	q.story[number].call = call
 	at := q.story[number]
 	s := q.services[at.shard]
 	go func() {
-		reply := q.f.opts.Backend.Forward(at.call, q.f.opts.Dialect)
+		reply := q.f.opts.Backend.Forward(call, q.f.opts.Dialect)
 		q.settle(s, at.state, at.handle, &reply)
 		q.f.reach.note(at.replica, &reply)
 		if !at.extra && reply.Took > 0 {
 			q.class.observe(reply.Took)
 		}
-		q.events.Put(event{shard: at.shard, step: number, reply: &reply})
+		q.events.Put(event{ends: []attemptEnd{{shard: at.shard, step: number, reply: &reply}}})
 	}()
 }
 
@@ -165,16 +168,21 @@
 	return r
 }
 
-func (q *run) call(id, address string) *backend.Forward {
+func (q *run) call(at *step) *backend.Forward {
+	return newCall(q.req, at.replica, q.deadline)
+}
+
+// newCall returns an attempt of a request at a replica.
+func newCall(req *Request, to *registry.Replica, deadline time.Time) *backend.Forward {
 	return &backend.Forward{
-		Replica:   &config.Replica{Name: id, Address: address},
-		RequestID: q.req.ID,
-		Method:    q.req.Method,
-		Target:    q.req.Target,
-		Host:      q.req.Host,
-		Header:    q.req.Header,
-		Body:      q.req.Body,
-		Deadline:  q.deadline,
+		Replica:   &config.Replica{Name: to.ID, Address: to.Address},
+		RequestID: req.ID,
+		Method:    req.Method,
+		Target:    req.Target,
+		Host:      req.Host,
+		Header:    req.Header,
+		Body:      req.Body,
+		Deadline:  deadline,
 	}
 }
 
@@ -209,6 +217,10 @@
 		return upstream.Abandoned
 	case reply.Reason == pb.Reason_REASON_LIMIT:
 		return upstream.Abandoned
+	case reply.Reason == pb.Reason_REASON_PEER || reply.Reason == pb.Reason_REASON_NO_REPLICA:
+		// The node that was to send it did not, or was lost: nothing is known of the
+		// replica.
+		return upstream.Abandoned
 	}
 	if reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN {
 		return upstream.Unreachable
@@ -229,8 +241,20 @@
 	return reply.Status >= http.StatusMultipleChoices && !reply.Notes.NotRun && !reply.Notes.OtherReplica
 }
 
-// take deals with the end of an attempt.
+// take deals with the ends of attempts that came together.
 func (q *run) take(e event) {
+	q.takeGroup(e)
+	for _, end := range e.ends {
+		q.takeEnd(end)
+	}
+}
+
+// takeEnd deals with the end of an attempt.
+func (q *run) takeEnd(e attemptEnd) {
+	if unsent(e.reply) {
+		q.sendDirectly(e.step)
+		return
+	}
 	q.story[e.step].end(q.since(), e.reply)
 	if e.reply.Evidence != pb.Evidence_EVIDENCE_NOT_RUN {
 		q.ran = true
--- a/node/forward/bench_test.go
+++ b/node/forward/bench_test.go
@@ -1,12 +1,10 @@
 package forward_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"testing"
 	"time"
 
@@ -21,56 +19,6 @@
 	"github.com/carobmill/carobmill/policy/route"
 )
 
-// Headers of the stand-in's dialect.
-const (
-	headerID        = "Request-Id"
-	headerSignature = "Signature"
-)
-
-// dialect is that of the stand-in replicas.
-type dialect struct{}
-
-func (dialect) Address(h http.Header, replicaID string, left time.Duration) {
-	h["Replica"] = []string{replicaID}
-	h["Timeout"] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
-}
-
-func (dialect) Notes(resp *http.Response) backend.ReplyNotes {
-	return backend.ReplyNotes{RequestID: resp.Header.Get(headerID), Signature: resp.Header.Get(headerSignature)}
-}
-
-// source is a fixed view.
-type source struct{ view *directory.View }
-
-func (s source) View() *directory.View { return s.view }
-func (source) FleetSize() float64      { return 1 }
-
-// replica answers each request on a connection with the same part.
-func replica(l net.Listener) {
-	body := make([]byte, 400)
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer func() { _ = conn.Close() }()
-			r := bufio.NewReader(conn)
-			for {
-				req, err := http.ReadRequest(r)
-				if err != nil {
-					return
-				}
-				_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s",
-					headerID, req.Header.Get(headerID), headerSignature, len(body), body)
-				if err != nil {
-					return
-				}
-			}
-		}()
-	}
-}
-
 // gatherer returns a forwarder with one replica of each shard.
 func gatherer(b testing.TB, shards int) *forward.Forwarder {
 	view := &directory.View{Replicas: make(map[string][]*registry.Replica), At: time.Now()}
@@ -82,8 +30,8 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		qt.New(b).Assert(err, qt.IsNil)
 		b.Cleanup(func() { _ = l.Close() })
-		go replica(l)
 		name := fmt.Sprintf("s%d", i)
+		go (&replica{Replica: registry.Replica{ID: "i-" + name}}).listen(l)
 		all.Shards = append(all.Shards, name)
 		view.Replicas[name] = []*registry.Replica{{ID: "i-" + name, Service: name, Address: l.Addr().String(), DataCentre: "a"}}
 	}
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -100,6 +101,9 @@
 	Dialect backend.Dialect
 	// DataCentre of this node.
 	DataCentre string
+	// Neighbours sends attempts at replicas of other data centres; nil for sending all
+	// from this node.
+	Neighbours Neighbours
 	// Extra bounds retries and hedges of the fleet.
 	Extra retrybudget.Bound
 	Log   logrus.FieldLogger
@@ -120,6 +124,8 @@
 	// lines bounds the log lines about requests.
 	lines telemetry.LineBudget
 	reach *reachability
+	// replicas is those of the newest view by ID.
+	replicas atomic.Pointer[map[string]*registry.Replica]
 }
 
 // New returns a forwarder.
@@ -164,15 +170,16 @@
 func (f *Forwarder) Update(v *directory.View) {
 	f.reach.keep(v)
 	size := f.opts.Source.FleetSize()
-	known := make(map[string]bool)
+	known := make(map[string]*registry.Replica)
 	for name, replicas := range v.Replicas {
 		limit := connectionShare(v.Index.Service(name), size)
 		for _, r := range replicas {
-			known[r.ID] = true
+			known[r.ID] = r
 			f.opts.Backend.SetConnections(r.ID, limit)
 		}
 		f.forget(f.service(name).keep(replicas), known)
 	}
+	f.replicas.Store(&known)
 	for name, s := range f.drop(v) {
 		if len(v.Replicas[name]) == 0 {
 			f.forget(s.keep(nil), known)
@@ -209,9 +216,9 @@
 }
 
 // forget drops the connections to replicas that are not known any more.
-func (f *Forwarder) forget(previous []*registry.Replica, known map[string]bool) {
+func (f *Forwarder) forget(previous []*registry.Replica, known map[string]*registry.Replica) {
 	for _, r := range previous {
-		if !known[r.ID] {
+		if known[r.ID] == nil {
 			f.opts.Backend.Forget(r.ID)
 		}
 	}
--- a/node/forward/reach.go
+++ b/node/forward/reach.go
@@ -64,22 +64,26 @@
 // keep takes the data centres of a new view.
 func (r *reachability) keep(v *directory.View) {
 	replicas := make(map[string][]*registry.Replica)
-	names := make(map[string]bool)
+	counts := make(map[string]int)
 	for _, list := range v.Replicas {
 		for _, replica := range list {
 			replicas[replica.DataCentre] = append(replicas[replica.DataCentre], replica)
-			names[replica.DataCentre] = true
+			counts[replica.DataCentre]++
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.replicas, r.view = replicas, v
-	r.tracker.Keep(time.Now(), names)
+	r.tracker.Keep(time.Now(), counts)
 }
 
 // note takes the end of an attempt.
 func (r *reachability) note(replica *registry.Replica, reply *backend.ForwardReply) {
 	answered := reply.Status != 0 || reply.Reason == pb.Reason_REASON_MISMATCH
+	if reply.Reason == pb.Reason_REASON_PEER || reply.Reason == pb.Reason_REASON_NO_REPLICA {
+		// The attempt was lost with the node that was to send it.
+		return
+	}
 	abandoned := reply.Reason == pb.Reason_REASON_CANCELLED || reply.Reason == pb.Reason_REASON_DEADLINE
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/node/forward/rig_test.go
@@ -0,0 +1,270 @@
+package forward_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/carobmill/carobmill/node/backend"
+	"github.com/carobmill/carobmill/node/directory"
+	"github.com/carobmill/carobmill/node/forward"
+	"github.com/carobmill/carobmill/policy/registry"
+	"github.com/carobmill/carobmill/policy/retrybudget"
+	"github.com/carobmill/carobmill/policy/route"
+	"github.com/carobmill/carobmill/standin/memnet"
+)
+
+// Headers of the stand-in's dialect.
+const (
+	headerID        = "Request-Id"
+	headerSignature = "Signature"
+	headerNotRun    = "Not-Run"
+)
+
+// dialect is that of the stand-in replicas.
+type dialect struct{}
+
+func (dialect) Address(h http.Header, replicaID string, left time.Duration) {
+	h["Replica"] = []string{replicaID}
+	h["Timeout"] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
+}
+
+func (dialect) Notes(resp *http.Response) backend.ReplyNotes {
+	return backend.ReplyNotes{
+		RequestID: resp.Header.Get(headerID),
+		Signature: resp.Header.Get(headerSignature),
+		NotRun:    resp.Header.Get(headerNotRun) != "",
+	}
+}
+
+// source is a fixed view.
+type source struct{ view *directory.View }
+
+func (s source) View() *directory.View { return s.view }
+func (source) FleetSize() float64      { return 1 }
+
+// replica is a stand-in for one backend server. Its part holds one record, its ID.
+type replica struct {
+	registry.Replica
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// takes is how long an answer takes.
+	takes time.Duration
+	// refusals is how many requests it still refuses.
+	refusals int
+	// asked is how many requests have arrived.
+	asked int
+	conns []net.Conn
+}
+
+// close ends the connections that the other end may have forgotten.
+func (r *replica) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range r.conns {
+		_ = conn.Close()
+	}
+}
+
+func (r *replica) set(change func(r *replica)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r)
+}
+
+func (r *replica) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked
+}
+
+// take counts a request and returns how it is answered.
+func (r *replica) take() (takes time.Duration, refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked++
+	if r.refusals > 0 {
+		r.refusals--
+		return 0, true
+	}
+	return r.takes, false
+}
+
+// record is the 16 bytes of a name.
+func record(name string) string { return fmt.Sprintf("%-16s", name) }
+
+// serve answers the requests on one connection.
+func (r *replica) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		takes, refused := r.take()
+		time.Sleep(takes)
+		id := req.Header.Get(headerID)
+		var out bytes.Buffer
+		if refused {
+			fmt.Fprintf(&out, "HTTP/1.1 503 Busy\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerID, id, headerNotRun)
+		} else {
+			fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: of-%s\r\nContent-Length: 16\r\n\r\n%s",
+				headerID, id, headerSignature, r.ID, record(r.ID))
+		}
+		if _, err := conn.Write(out.Bytes()); err != nil {
+			return
+		}
+	}
+}
+
+// listen serves connections until the listener is closed.
+func (r *replica) listen(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r.set(func(r *replica) { r.conns = append(r.conns, conn) })
+		go r.serve(conn)
+	}
+}
+
+// rig is replicas in data centres and the forwarders of some nodes.
+type rig struct {
+	*qt.C
+	network  *memnet.Network
+	view     *directory.View
+	replicas map[string]*replica
+	route    route.Route
+	closers  []func()
+}
+
+// run plays a test in virtual time. place names the data centres of the replicas of each
+// shard.
+func run(t *testing.T, place map[string][]string, test func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{
+			C:        qt.New(t),
+			network:  memnet.New(time.Millisecond),
+			view:     &directory.View{Replicas: make(map[string][]*registry.Replica), At: time.Now()},
+			replicas: make(map[string]*replica),
+			route: route.Route{
+				Name: "all", Host: "h.example", Prefix: "/", Idempotent: true, MaxAttempts: 2,
+				Timeout: time.Second, Objective: 100 * time.Millisecond, TopRecords: 100, MinCoverage: 0.75,
+			},
+		}
+		for shard, centres := range place {
+			r.route.Shards = append(r.route.Shards, shard)
+			for _, dc := range centres {
+				r.place(shard, dc)
+			}
+		}
+		defer func() {
+			for _, end := range r.closers {
+				end()
+			}
+			time.Sleep(time.Minute)
+		}()
+		test(r)
+	})
+}
+
+// place starts a replica of a shard, shard-dc, in a data centre.
+func (r *rig) place(shard, dc string) {
+	l, err := r.network.Listen(dc, "127.0.0.1:0")
+	r.Assert(err, qt.IsNil)
+	id := shard + "-" + dc
+	rep := &replica{
+		Replica: registry.Replica{ID: id, Service: shard, Address: l.Addr().String(), DataCentre: dc},
+		takes:   5 * time.Millisecond,
+	}
+	r.replicas[id] = rep
+	r.view.Replicas[shard] = append(r.view.Replicas[shard], &rep.Replica)
+	r.closers = append(r.closers, func() { _ = l.Close() }, rep.close)
+	go rep.listen(l)
+}
+
+// node returns the forwarder of a node in a data centre.
+func (r *rig) node(dc string, neighbours forward.Neighbours) *forward.Forwarder {
+	if r.view.Index == nil {
+		r.view.Index = route.NewIndex(&route.Configuration{Version: 1, Routes: []route.Route{r.route}})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	client := backend.New(backend.Options{
+		Dial: r.network.Dialer(dc), DialTimeout: 500 * time.Millisecond, HoldClosed: time.Second,
+	})
+	f := forward.New(forward.Options{
+		Source:     source{view: r.view},
+		Backend:    client,
+		Dialect:    dialect{},
+		DataCentre: dc,
+		Neighbours: neighbours,
+		Extra:      retrybudget.Bound{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second},
+		Log:        log,
+	})
+	f.Update(r.view)
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.Run(ctx)
+	r.closers = append(r.closers, cancel, client.Close)
+	return f
+}
+
+// ask sends one request and returns its answer and how long it took.
+func (r *rig) ask(f *forward.Forwarder, reserve time.Duration) (forward.Answer, time.Duration) {
+	began := time.Now()
+	a := f.Serve(context.Background(), &forward.Request{
+		ID: "q", Method: http.MethodGet, Target: "/x", Path: "/x", Host: "h.example",
+		Header:  http.Header{headerID: {"q"}},
+		Arrived: began, Patience: time.Second, Reserve: reserve,
+	})
+	return a, time.Since(began)
+}
+
+// records checks that an answer holds exactly one part of each of its shards, with the
+// records of these parts.
+func (r *rig) records(a forward.Answer) {
+	r.Assert(a.Outcome, qt.Equals, forward.Merged)
+	seen := make(map[string]bool)
+	want := make(map[string]bool)
+	for _, signature := range a.Signatures {
+		id := signature[len("of-"):]
+		shard := r.replicas[id].Service
+		r.Assert(seen[shard], qt.IsFalse, qt.Commentf("two parts of %s", shard))
+		seen[shard] = true
+		want[record(id)] = true
+	}
+	got := make(map[string]bool)
+	for body := a.Body; len(body) > 0; body = body[16:] {
+		got[string(body[:16])] = true
+	}
+	r.Assert(got, qt.DeepEquals, want)
+	r.Assert(len(a.Signatures)+a.Missing, qt.Equals, len(r.route.Shards))
+}
+
+// most checks that no shard was asked at more replicas than the route allows.
+func (r *rig) most() {
+	asked := make(map[string]int)
+	for _, rep := range r.replicas {
+		if rep.count() > 0 {
+			asked[rep.Service]++
+		}
+	}
+	for shard, n := range asked {
+		r.Assert(n <= r.route.MaxAttempts, qt.IsTrue, qt.Commentf("%s was asked at %d replicas", shard, n))
+	}
+}
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -45,6 +45,8 @@
 	parts     []backend.ForwardReply
 	events    *work.Inbox[event]
 	hedging   gather.Hedging
+	// groups are the records of parts that came merged, whose bodies are empty.
+	groups [][]byte
 	// ran is set once an attempt may have run at a replica.
 	ran bool
 	// last is the newest failure that a replica answered with, if any.
@@ -57,8 +59,17 @@
 	gone bool
 }
 
-// event is the end of an attempt.
+// event is the end of one attempt, or of some of a batch.
 type event struct {
+	ends []attemptEnd
+	// merged is set where records holds those of the successful ones, which have no
+	// bodies.
+	merged  bool
+	records []byte
+}
+
+// attemptEnd is the end of an attempt.
+type attemptEnd struct {
 	shard int
 	step  int
 	reply *backend.ForwardReply
@@ -132,9 +143,7 @@
 		q.undo()
 		return q.finish(verdict)
 	}
-	for i := range q.story {
-		q.launch(i)
-	}
+	q.launchAll()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var events []event
--- /dev/null
+++ b/node/forward/servebatch.go
@@ -0,0 +1,95 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/backend"
+	"github.com/carobmill/carobmill/node/work"
+	"github.com/carobmill/carobmill/policy/gather"
+	"github.com/carobmill/carobmill/policy/registry"
+)
+
+// flushAfter is how long a reply may wait for others to be sent back with it.
+const flushAfter = 3 * time.Millisecond
+
+// ServeBatch sends the attempts of a batch for another node, which has chosen the replicas
+// and counts the attempts. It calls deliver with replies that came at about the same time,
+// and returns once each replica has one, ctx has ended, or deliver has failed.
+func (f *Forwarder) ServeBatch(ctx context.Context, b *Batch, deliver func(PartReplies) error) error {
+	inbox := work.NewInbox[PartReply](len(b.Replicas))
+	calls := f.sendBatch(b, inbox)
+	defer func() {
+		for _, call := range calls {
+			call.End(lingerFor)
+		}
+	}()
+	var waiting []PartReply
+	var flush <-chan time.Time
+	for open := len(b.Replicas); open > 0; {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-inbox.Ready():
+			waiting = append(waiting, inbox.Take(nil)...)
+			if len(waiting) < open {
+				if flush == nil {
+					flush = time.After(flushAfter)
+				}
+				continue
+			}
+		case <-flush:
+		}
+		flush = nil
+		open -= len(waiting)
+		if err := deliver(grouped(waiting, b.TopRecords)); err != nil {
+			return err
+		}
+		waiting = nil
+	}
+	return nil
+}
+
+// sendBatch sends the attempts of a batch and returns those that were sent.
+func (f *Forwarder) sendBatch(b *Batch, inbox *work.Inbox[PartReply]) []*backend.Forward {
+	var known map[string]*registry.Replica
+	if replicas := f.replicas.Load(); replicas != nil {
+		known = *replicas
+	}
+	calls := make([]*backend.Forward, 0, len(b.Replicas))
+	for i, id := range b.Replicas {
+		replica := known[id]
+		if replica == nil {
+			inbox.Put(PartReply{Replica: i, Reply: backend.ForwardReply{
+				Reason: pb.Reason_REASON_NO_REPLICA, Evidence: pb.Evidence_EVIDENCE_NOT_RUN,
+			}})
+			continue
+		}
+		call := newCall(b.Request, replica, b.Deadline)
+		calls = append(calls, call)
+		go func() {
+			reply := f.opts.Backend.Forward(call, f.opts.Dialect)
+			inbox.Put(PartReply{Replica: i, Reply: reply})
+		}()
+	}
+	return calls
+}
+
+// grouped merges the successful ones of some replies.
+func grouped(replies []PartReply, topRecords int) PartReplies {
+	var bodies [][]byte
+	for i := range replies {
+		reply := &replies[i].Reply
+		switch {
+		case good(reply):
+			bodies = append(bodies, reply.Body)
+		case reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices:
+			// The other node sees no header that tells why this is no success.
+			reply.Status = http.StatusBadGateway
+		}
+		reply.Header, reply.Body = nil, nil
+	}
+	return PartReplies{Replies: replies, Records: gather.Greatest(bodies, topRecords)}
+}
--- a/node/forward/story.go
+++ b/node/forward/story.go
@@ -24,8 +24,10 @@
 	// state and handle are the replica's entry in its service's tables.
 	state  *upstream.State
 	handle uint64
-	// call is the attempt itself.
-	call  *backend.Forward
+	// call ends the attempt; set once it is sent.
+	call cancellable
+	// via is the node that sends it, when it is another one.
+	via   string
 	ended bool
 	// refused is set when the replica stated that it did not run the request.
 	refused bool
@@ -88,6 +90,7 @@
 type attemptLine struct {
 	Service string  `json:"service"`
 	Replica string  `json:"replica"`
+	Via     string  `json:"via,omitempty"`
 	At      float64 `json:"at_ms"`
 	End     float64 `json:"end_ms,omitempty"`
 	Hedge   bool    `json:"hedge,omitempty"`
@@ -111,7 +114,7 @@
 			continue
 		}
 		attempts = append(attempts, attemptLine{
-			Service: q.names[s.shard], Replica: s.replica.ID, At: ms(s.at), End: ms(s.endedAt),
+			Service: q.names[s.shard], Replica: s.replica.ID, Via: s.via, At: ms(s.at), End: ms(s.endedAt),
 			Hedge: s.hedge, Status: s.status, Why: s.why,
 		})
 	}
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -64,7 +64,7 @@
 		Capacity:   settings.GetForwarding().GetCapacity(),
 	}
 	g.buildDirectory(own, adapter.Store())
-	g.buildForwarder(adapter.Dialect())
+	g.buildForwarder(own, adapter.Dialect())
 	g.buildRelay(own, credentials)
 	g.buildListeners(adapter, metricsHandler)
 	return g, nil
@@ -86,7 +86,7 @@
 }
 
 // buildForwarder builds what asks the shards from this node.
-func (g *Gateway) buildForwarder(dialect backend.Dialect) {
+func (g *Gateway) buildForwarder(own coordinator.Member, dialect backend.Dialect) {
 	g.backends = backend.New(backend.Options{
 		DialTimeout:    dialTimeout,
 		HoldClosed:     holdClosed,
@@ -100,6 +100,7 @@
 		Backend:    g.backends,
 		Dialect:    dialect,
 		DataCentre: g.settings.GetDataCentre(),
+		Neighbours: relay.NewNeighbours(own, g.peers, g.directory.Fleet, g.log),
 		Extra: retrybudget.Bound{
 			Ratio:  forwarding.GetExtraRatio(),
 			Slack:  forwarding.GetExtraSlack(),
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -14,6 +14,8 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/backend"
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/forward"
 	"github.com/carobmill/carobmill/node/peer"
@@ -41,6 +43,7 @@
 	fleet     coordinator.Fleet
 	hurried   int
 	served    []forward.Request
+	batches   []forward.Batch
 	// hold makes requests wait until their sender has gone; released counts those.
 	hold     bool
 	released int
@@ -94,6 +97,25 @@
 
 func (n *node) Hurry() { n.set(func() { n.hurried++ }) }
 
+// ServeBatch answers for each replica at once, or for none while the node holds requests.
+func (n *node) ServeBatch(ctx context.Context, b *forward.Batch, deliver func(forward.PartReplies) error) error {
+	n.mu.Lock()
+	n.batches = append(n.batches, *b)
+	hold := n.hold
+	n.mu.Unlock()
+	if hold {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	r := forward.PartReplies{Records: []byte(n.member.Node)}
+	for i := range b.Replicas {
+		r.Replies = append(r.Replies, forward.PartReply{Replica: i, Reply: backend.ForwardReply{
+			Status: 200, Notes: backend.ReplyNotes{Signature: b.Replicas[i]}, Evidence: pb.Evidence_EVIDENCE_RAN,
+		}})
+	}
+	return deliver(r)
+}
+
 func (n *node) Isolated() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -51,6 +51,8 @@
 	Serve(ctx context.Context, req *forward.Request) forward.Answer
 	// Isolated reports whether no other data centre is in reach.
 	Isolated() bool
+	// ServeBatch sends the attempts of a batch for another node.
+	ServeBatch(ctx context.Context, b *forward.Batch, deliver func(forward.PartReplies) error) error
 }
 
 // ServerOptions of a Server.
@@ -134,6 +136,19 @@
 	}
 }
 
+// maxBatch bounds the replicas of a batch.
+const maxBatch = 4096
+
+// Gather implements peerv1.CoordinatorServer.
+func (s *Server) Gather(m *pb.GatherBatch, stream grpc.ServerStreamingServer[pb.PartReplies]) error {
+	if len(m.GetReplicas()) > maxBatch {
+		return status.Error(codes.InvalidArgument, "the batch holds too many replicas")
+	}
+	return s.opts.Local.ServeBatch(stream.Context(), decodeBatch(m, time.Now()), func(r forward.PartReplies) error {
+		return stream.Send(encodeReplies(r))
+	})
+}
+
 // Heartbeat implements peerv1.CoordinatorServer.
 func (s *Server) Heartbeat(ctx context.Context, m *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
 	s.opts.Follower.RelyOn()
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -10,6 +10,7 @@
 	"time"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/backend"
 	"github.com/carobmill/carobmill/node/forward"
 	"github.com/carobmill/carobmill/policy/coordinator"
 )
@@ -151,6 +152,75 @@
 	return f
 }
 
+// encodeBatch makes the message of a batch.
+func encodeBatch(b *forward.Batch) *pb.GatherBatch {
+	return &pb.GatherBatch{
+		RequestId:  []byte(b.Request.ID),
+		Method:     []byte(b.Request.Method),
+		Target:     []byte(b.Request.Target),
+		Host:       []byte(b.Request.Host),
+		Headers:    encodeHeader(b.Request.Header),
+		Body:       b.Request.Body,
+		LeftUs:     microseconds(time.Until(b.Deadline)),
+		TopRecords: uint32(b.TopRecords),
+		Replicas:   encodeStrings(b.Replicas),
+	}
+}
+
+// decodeBatch reads the message of a batch that arrived now.
+func decodeBatch(m *pb.GatherBatch, now time.Time) *forward.Batch {
+	return &forward.Batch{
+		Request: &forward.Request{
+			ID:     string(m.GetRequestId()),
+			Method: string(m.GetMethod()),
+			Target: string(m.GetTarget()),
+			Host:   string(m.GetHost()),
+			Header: decodeHeader(m.GetHeaders()),
+			Body:   m.GetBody(),
+		},
+		Replicas:   decodeStrings(m.GetReplicas()),
+		Deadline:   now.Add(duration(m.GetLeftUs())),
+		TopRecords: int(min(m.GetTopRecords(), maxRecords)),
+	}
+}
+
+// maxRecords bounds what is taken from a faulty message.
+const maxRecords = 1 << 16
+
+func encodeReplies(r forward.PartReplies) *pb.PartReplies {
+	m := &pb.PartReplies{Records: r.Records, Replies: make([]*pb.PartReply, 0, len(r.Replies))}
+	for i := range r.Replies {
+		reply := &r.Replies[i].Reply
+		m.Replies = append(m.Replies, &pb.PartReply{
+			Replica:      uint32(r.Replies[i].Replica),
+			Status:       uint32(reply.Status),
+			Signature:    []byte(reply.Notes.Signature),
+			NotRun:       reply.Notes.NotRun,
+			OtherReplica: reply.Notes.OtherReplica,
+			Evidence:     reply.Evidence,
+			Reason:       reply.Reason,
+			TookUs:       microseconds(reply.Took),
+		})
+	}
+	return m
+}
+
+func decodeReplies(m *pb.PartReplies) forward.PartReplies {
+	r := forward.PartReplies{Records: m.GetRecords()}
+	for _, p := range m.GetReplies() {
+		r.Replies = append(r.Replies, forward.PartReply{Replica: int(p.GetReplica()), Reply: backend.ForwardReply{
+			Status: int(p.GetStatus()),
+			Notes: backend.ReplyNotes{
+				Signature: string(p.GetSignature()), NotRun: p.GetNotRun(), OtherReplica: p.GetOtherReplica(),
+			},
+			Evidence: p.GetEvidence(),
+			Reason:   p.GetReason(),
+			Took:     duration(p.GetTookUs()),
+		}})
+	}
+	return r
+}
+
 func microseconds(d time.Duration) uint64 { return uint64(max(d, 0).Microseconds()) }
 
 // maxMicroseconds keeps times of a faulty message from overflowing.
--- a/policy/reach/reach.go
+++ b/policy/reach/reach.go
@@ -15,7 +15,8 @@
 	// each data centre some fifty times a second.
 	silentFor = 400 * time.Millisecond
 	// silentAttempts and silentReplicas is the evidence needed beside time: an idle
-	// node hears nothing either, and one dark replica is not a data centre.
+	// node hears nothing either, and one dark replica is not a data centre that has
+	// others.
 	silentAttempts = 4
 	silentReplicas = 2
 	// isolatedFrom is the least number of other data centres that must all be out of
@@ -35,6 +36,8 @@
 
 // centre is what is known of one data centre.
 type centre struct {
+	// replicas is how many are known.
+	replicas int
 	answered time.Time
 	attempts int
 	silent   map[string]bool
@@ -45,17 +48,18 @@
 	return &Tracker{own: own, centres: make(map[string]*centre)}
 }
 
-// Keep replaces the data centres in which replicas are known.
-func (t *Tracker) Keep(now time.Time, names map[string]bool) {
+// Keep replaces the data centres in which replicas are known. replicas holds how many.
+func (t *Tracker) Keep(now time.Time, replicas map[string]int) {
 	for name := range t.centres {
-		if !names[name] {
+		if replicas[name] == 0 {
 			delete(t.centres, name)
 		}
 	}
-	for name := range names {
+	for name, n := range replicas {
 		if t.centres[name] == nil {
 			t.centres[name] = &centre{answered: now, silent: make(map[string]bool)}
 		}
+		t.centres[name].replicas = n
 	}
 }
 
@@ -178,5 +182,5 @@
 			distinct++
 		}
 	}
-	return distinct >= silentReplicas
+	return distinct >= min(silentReplicas, c.replicas)
 }
--- a/policy/reach/reach_test.go
+++ b/policy/reach/reach_test.go
@@ -13,7 +13,7 @@
 
 func tracker() *reach.Tracker {
 	t := reach.New("a")
-	t.Keep(begin, map[string]bool{"a": true, "b": true, "c": true, "d": true})
+	t.Keep(begin, map[string]int{"a": 9, "b": 9, "c": 9, "d": 9})
 	return t
 }
 
@@ -121,7 +121,7 @@
 	insufficient := func(map[string]bool) bool { return false }
 	for cut, isolated := range map[string]bool{"c": false, "cd": false, "cde": false, "cdef": true, "bcdef": true} {
 		tr := reach.New("a")
-		tr.Keep(begin, map[string]bool{"a": true, "b": true, "c": true, "d": true, "e": true, "f": true})
+		tr.Keep(begin, map[string]int{"a": 9, "b": 9, "c": 9, "d": 9, "e": 9, "f": 9})
 		for _, name := range cut {
 			silence(tr, string(name))
 		}
@@ -130,3 +130,17 @@
 		c.Check(tr.Judge(now, nil, sufficient).Isolated, qt.Equals, cut == "bcdef", qt.Commentf("cut off: %s", cut))
 	}
 }
+
+// TestDataCentreWithOneReplicaCanBeOut guards against a cut that is never noticed since a
+// data centre holds too few replicas to be silent.
+func TestDataCentreWithOneReplicaCanBeOut(t *testing.T) {
+	c := qt.New(t)
+	tr := reach.New("a")
+	tr.Keep(begin, map[string]int{"b": 1, "c": 2})
+	for range 4 {
+		tr.Silent("b", "b1")
+		tr.Silent("c", "c1")
+	}
+	judged := tr.Judge(begin.Add(time.Second), nil, sufficient)
+	c.Assert(judged.Out, qt.DeepEquals, map[string]bool{"b": true})
+}
