--- a/node/directory/read.go
+++ b/node/directory/read.go
@@ -57,11 +57,8 @@
 	return nil
 }
 
-// catchUp takes what was written while the areas were read.
-//
-// Failure: the store holds more than a page, and replicas register while a starting node
-// reads the others. Symptom: it takes callers, and refuses them for want of replicas until
-// its first watch has answered.
+// catchUp takes what was written while the areas were read, in several pages: a node that
+// takes callers without it lacks replicas until its first watch has answered.
 func (d *Directory) catchUp(ctx context.Context) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/node/forward/reach.go
+++ b/node/forward/reach.go
@@ -31,13 +31,9 @@
 	silentAfter = 200 * time.Millisecond
 )
 
-// reachability keeps the judgement of which data centres are out of reach.
-//
-// Failure: a data centre is cut off from the others, but callers still reach its nodes.
-// Symptom: every request there waits for replicas that cannot answer and fails, for as
-// long as the cut lasts. A node that reaches no other data centre reports itself
-// unready, so that the balancer sends its callers to nodes that can serve them; it
-// answers those that still come at once.
+// reachability evaluates which data centres can be reached. A node that reaches no other one
+// reports itself unready, so that the balancer sends its callers to nodes that can serve
+// them; it refuses at once those that still come.
 type reachability struct {
 	backend *backend.Client
 	log     logrus.FieldLogger
@@ -120,12 +116,9 @@
 // down must not stand for its data centre.
 const probesEach = 2
 
-// judge publishes the judgement and returns the replicas to probe.
-//
-// Failure: the process stood still, and on waking finds every attempt old and every
-// data centre silent, though their answers lie in its sockets. Symptom: all requests of
-// the next round are refused. A round that comes late judges nothing; by the next one
-// the answers have been read.
+// judge publishes a new evaluation and returns the replicas to probe. A round that comes late
+// evaluates nothing: after a pause of the process every attempt looks old although its
+// answer may be in the socket.
 func (r *reachability) judge() []*registry.Replica {
 	now := time.Now()
 	late := now.Sub(r.last) > 2*reachInterval
--- a/node/relay/exchange.go
+++ b/node/relay/exchange.go
@@ -90,12 +90,8 @@
 	}
 }
 
-// limitOffer ends an exchange that gets no offer in time.
-//
-// Failure: this process stood still for the rest of its quota's period, and on waking
-// finds the time over although the offer lies in its socket. Symptom: a coordinator that
-// is well is left. When the timer comes late, there is some more time; by then the offer
-// has been read.
+// limitOffer ends an exchange that gets no offer in time. A timer that comes late means that
+// this process was paused; the offer may be in its socket and gets some more time.
 func limitOffer(began time.Time, offered *atomic.Bool, cancel context.CancelFunc) *time.Timer {
 	return time.AfterFunc(offerTimeout, func() {
 		if time.Since(began) > offerTimeout+stoodStill {
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -115,11 +115,8 @@
 func (r *Relay) MaxBodyBytes() int64 { return r.maxBodyBytes.Load() }
 
 // await returns a coordinator for a request. When there is none, it waits a moment for
-// one, unless this node can answer by itself.
-//
-// Failure: all nodes lose power and come back, small ones as soon as large ones.
-// Symptom: the whole fleet reads the store because a coordinator was a moment later than
-// the others.
+// one, unless this node can answer by itself: after a restart of the whole fleet, each node
+// that does not wait reads the store.
 func (r *Relay) await(ctx context.Context, tried map[string]bool) (coordinator.Member, coordinator.Condition, bool) {
 	for {
 		to, condition, ok := r.pick(tried)
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -81,12 +81,9 @@
 	return server
 }
 
-// Relay implements peerv1.CoordinatorServer.
-//
-// Failure: a coordinator stands still for a while, with a request in its socket that its
-// sender gives to another one meanwhile. Symptom: on waking it runs the request as well,
-// and it reaches more replicas of a shard than its route allows. It begins only when the sender says so after its offer, which costs a way there and
-// back inside a data centre.
+// Relay implements peerv1.CoordinatorServer. It begins only when the sender says so after
+// its offer: a process that was paused meanwhile would run a request that its sender has
+// given to another coordinator.
 func (s *Server) Relay(stream grpc.BidiStreamingServer[pb.RelayMessage, pb.RelayResponse]) error {
 	first, err := stream.Recv()
 	if err != nil {
--- a/policy/gather/hedge.go
+++ b/policy/gather/hedge.go
@@ -49,13 +49,8 @@
 func (h Hedging) Earliest() time.Duration { return h.earliest }
 
 // After returns the wait before a hedge while a share, 0 to 1, of the budget for hedges is
-// used.
-//
-// Failure: replicas of many shards turn slow, and attempts that would have answered in
-// time are hedged as soon as they are late beside others. Symptom: the budget for extra
-// requests is spent, and attempts at replicas that stand still get no hedge. The more of
-// the budget is used, the closer hedges move to the last moment that helps, so that what
-// is left goes to attempts that need it.
+// used. The more of it is used, the closer hedges move to the last moment that helps, so
+// that the rest goes to attempts at stalled replicas while many others are only slow.
 func (h Hedging) After(used float64) time.Duration {
 	put := min(max(used, 0)/scarceFrom, 1)
 	return h.earliest + time.Duration(put*float64(h.latest-h.earliest))
--- a/policy/upstream/slowness.go
+++ b/policy/upstream/slowness.go
@@ -18,13 +18,10 @@
 	forgetSlowness = 1500 * time.Millisecond
 )
 
-// slowness estimates how long a replica takes, as a multiple of the usual latency.
-//
-// Failure: a replica pauses for a moment while several requests are out at it. Symptom: all
-// of them end late together, the replica is taken for a slow one, and requests go to
-// another data centre for seconds although it answers as fast as ever. Requests that were
-// out together at one pause therefore count once. A replica that is slow shows it again
-// with the next request that is sent.
+// slowness estimates how long a replica takes, as a multiple of the usual latency. Requests
+// that were out together at one pause count once: a short pause must not send requests to
+// another data centre for seconds. A replica that is slow shows it again with the next
+// request.
 type slowness struct {
 	factor float64
 	seen   time.Time
--- a/policy/upstream/upstream.go
+++ b/policy/upstream/upstream.go
@@ -161,13 +161,9 @@
 	return best
 }
 
-// room is how many requests of this node the replica may have out.
-//
-// Failure: callers ask for more of a shard than it can serve, and every node fills its
-// places at each replica. Symptom: what is answered has waited in a full queue and comes
-// too late for most, so that the replicas work at their limit and serve nobody. Half of
-// the places at a replica that takes several times the usual keep its queue inside the
-// objective; the rest is turned away at once.
+// room is how many requests of this node the replica may have out. Half of the places at a
+// replica that takes several times the usual keep its queue inside the objective while
+// callers ask for more than it can serve; the rest is refused at once.
 func (st *State) room(now time.Time, q Request) int {
 	if st.slowness.at(now) < crowdedFrom {
 		return q.ConnectionsEach
--- a/policy/upstream/usual.go
+++ b/policy/upstream/usual.go
@@ -17,12 +17,8 @@
 	minUsual = 2 * time.Millisecond
 )
 
-// usual estimates the latency of a class at a service that is well.
-//
-// Failure: callers ask for more of a service than it can serve, for seconds. Symptom: the
-// estimate follows the queues, all replicas seem as fast as ever, and no decision that
-// goes by it sees the overload. It falls with each sample and rises slowly however many
-// come.
+// usual estimates the latency of a class at a service without overload. It falls with each
+// sample and rises slowly however many come, so that it does not follow queues.
 type usual struct {
 	latency time.Duration
 	at      time.Time
