--- a/node/scenario/caller_test.go
+++ b/node/scenario/caller_test.go
@@ -22,15 +22,12 @@
 	}
 }
 
-func TestCallerInterface(t *testing.T) {
-	d := start(t, deployment.Options{Sheet: kenya(t, "timing"), NodesPerDataCentre: 1})
-	addr := d.Nodes[0].Settings.GetCallerAddress()
-
-	t.Run("a query is answered in full", func(t *testing.T) {
+func TestQueryIsAnsweredInFull(t *testing.T) {
+	virtual(t, deployment.Options{Sheet: kenya(t, "timing"), NodesPerDataCentre: 1}, func(t *testing.T, d *deployment.Deployment) {
 		c := qt.New(t)
 		req := timingQuery()
 		req.Trace = true
-		answer, status, err := d.Query(t.Context(), addr, req)
+		answer, status, err := d.Query(t.Context(), d.Nodes[0].Settings.GetCallerAddress(), req)
 		c.Assert(err, qt.IsNil)
 		c.Assert(status, qt.Equals, http.StatusOK)
 		c.Assert(answer.Outcome, qt.Equals, query.Complete)
@@ -41,47 +38,51 @@
 		c.Assert(answer.Cost.Attempts >= 10, qt.IsTrue)
 		c.Assert(len(answer.Trace) >= 20, qt.IsTrue)
 	})
+}
 
-	t.Run("bad input is refused with the field at fault", func(t *testing.T) {
-		cases := []struct {
-			body   string
-			status int
-			code   string
-			field  string
-		}{
-			{`{"service":"nope","class":"checkpoint","query":1}`, 404, "unknown_service", "service"},
-			{`{"service":"timing","class":"nope","query":1}`, 400, "unknown_class", "class"},
-			{`{"service":"timing","class":"checkpoint"`, 400, "bad_request", "body"},
-			{`{"service":"timing","class":"checkpoint"}`, 400, "bad_request", "query"},
-			{`{"service":7,"class":"checkpoint","query":1}`, 400, "bad_request", "service"},
-			{`{"service":"timing","class":"checkpoint","query":1,"rows":1}`, 400, "bad_request", "rows"},
-			{`{"service":"timing","class":"checkpoint","query":1,"deadline_ms":-1}`, 400, "bad_request", "deadline_ms"},
-			{`{"service":"timing","class":"checkpoint","query":1} {}`, 400, "bad_request", "body"},
-			{`{"query":"` + strings.Repeat("x", 2<<20) + `"}`, 413, "too_large", "body"},
-		}
-		for _, tc := range cases {
-			c := qt.New(t)
-			resp, err := http.Post("http://"+addr+"/v1/query", "application/json", strings.NewReader(tc.body))
-			c.Assert(err, qt.IsNil)
-			var answer caller.ErrorAnswer
-			c.Assert(json.NewDecoder(resp.Body).Decode(&answer), qt.IsNil)
-			_ = resp.Body.Close()
-			comment := qt.Commentf("%.80s: %s", tc.body, answer.Error.Message)
-			c.Assert(resp.StatusCode, qt.Equals, tc.status, comment)
-			c.Assert(answer.Error.Code, qt.Equals, tc.code, comment)
-			c.Assert(answer.Error.Field, qt.Equals, tc.field, comment)
-		}
-	})
+func TestBadInputIsRefusedWithTheFieldAtFault(t *testing.T) {
+	d := start(t, deployment.Options{Sheet: kenya(t, "timing"), NodesPerDataCentre: 1})
+	addr := d.Nodes[0].Settings.GetCallerAddress()
+	cases := []struct {
+		body   string
+		status int
+		code   string
+		field  string
+	}{
+		{`{"service":"nope","class":"checkpoint","query":1}`, 404, "unknown_service", "service"},
+		{`{"service":"timing","class":"nope","query":1}`, 400, "unknown_class", "class"},
+		{`{"service":"timing","class":"checkpoint"`, 400, "bad_request", "body"},
+		{`{"service":"timing","class":"checkpoint"}`, 400, "bad_request", "query"},
+		{`{"service":7,"class":"checkpoint","query":1}`, 400, "bad_request", "service"},
+		{`{"service":"timing","class":"checkpoint","query":1,"rows":1}`, 400, "bad_request", "rows"},
+		{`{"service":"timing","class":"checkpoint","query":1,"deadline_ms":-1}`, 400, "bad_request", "deadline_ms"},
+		{`{"service":"timing","class":"checkpoint","query":1} {}`, 400, "bad_request", "body"},
+		{`{"query":"` + strings.Repeat("x", 2<<20) + `"}`, 413, "too_large", "body"},
+	}
+	for _, tc := range cases {
+		c := qt.New(t)
+		resp, err := http.Post("http://"+addr+"/v1/query", "application/json", strings.NewReader(tc.body))
+		c.Assert(err, qt.IsNil)
+		var answer caller.ErrorAnswer
+		c.Assert(json.NewDecoder(resp.Body).Decode(&answer), qt.IsNil)
+		_ = resp.Body.Close()
+		comment := qt.Commentf("%.80s: %s", tc.body, answer.Error.Message)
+		c.Assert(resp.StatusCode, qt.Equals, tc.status, comment)
+		c.Assert(answer.Error.Code, qt.Equals, tc.code, comment)
+		c.Assert(answer.Error.Field, qt.Equals, tc.field, comment)
+	}
+}
 
-	// The caller allows less time than a backend server takes. It gets a
-	// labelled answer at once, not an error after the fact: refused as not run,
-	// or partial with the shards that missed the deadline.
-	t.Run("a deadline of 1 ms gets an honest answer", func(t *testing.T) {
+// TestShortDeadlineGetsAnHonestAnswer guards against an error after the fact where a caller
+// allows less time than a backend server takes: it is refused as not run, or gets a partial
+// answer that names the shards that missed the deadline.
+func TestShortDeadlineGetsAnHonestAnswer(t *testing.T) {
+	virtual(t, deployment.Options{Sheet: kenya(t, "timing"), NodesPerDataCentre: 1}, func(t *testing.T, d *deployment.Deployment) {
 		c := qt.New(t)
 		req := timingQuery()
 		req.DeadlineMs = 1
 		began := time.Now()
-		answer, _, err := d.Query(t.Context(), addr, req)
+		answer, _, err := d.Query(t.Context(), d.Nodes[0].Settings.GetCallerAddress(), req)
 		took := time.Since(began)
 		c.Assert(err, qt.IsNil)
 		c.Assert(answer.Outcome, qt.Not(qt.Equals), query.Complete)
