Count a reset stream against a cold server for as long as a missed deadline

Cause, by reading: a cancelled HTTP/2 stream counted as let go after 6 ms, since its reset is not confirmed; a server that waits for a processor notices later. HTTP/1.1 allows it 100 ms after its deadline. Now HTTP/2 does too. Forwarding nodes use HTTP/1.1 only.

--- a/node/backend/exchange.go
+++ b/node/backend/exchange.go
@@ -115,8 +115,9 @@
 	}
 	ended := ex.conn.wire.ended
 	if ex.pool.h2 {
-		// A stream's reset is not confirmed; it takes one way to arrive.
-		wait = min(wait, defaultFinishBound)
+		// A stream's reset is not confirmed. A busy server takes as long to notice it as
+		// to notice a deadline.
+		wait = min(wait, lateServer)
 	}
 	go func() {
 		timer := time.NewTimer(wait)
