Begin no batch whose sender has gone, and take no replies twice

Cause, found by reading: a node that was paused with a batch in its socket could send its attempts on waking although their sender had given them up; a faulty node that answers for one replica twice in a message settled that attempt twice.

Change: a batch whose context has ended is not begun; a malformed message ends the batch, takes the node out of use and is logged with its error.

Measured: TestEndedBatchIsNotBegun failed 6 of 200 times before (it depends on which goroutine runs first) and 0 of 200 after, TestMalformedRepliesEndTheBatch each time before.

--- a/node/forward/batch_test.go
+++ b/node/forward/batch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -55,6 +56,10 @@
 	return "other", true
 }
 
+func batchedRequest() *forward.Request {
+	return &forward.Request{ID: "q", Method: http.MethodGet, Target: "/x", Header: http.Header{headerID: {"q"}}}
+}
+
 // TestBatchedPartsAreMerged is the path of parts that come merged from another data centre.
 func TestBatchedPartsAreMerged(t *testing.T) {
 	run(t, shards(6, "b"), func(r *rig) {
@@ -163,7 +168,7 @@
 		f := r.node("b", nil)
 		var replies []forward.PartReply
 		b := &forward.Batch{
-			Request:  &forward.Request{ID: "q", Method: "GET", Target: "/x", Header: map[string][]string{headerID: {"q"}}},
+			Request:  batchedRequest(),
 			Replicas: []string{"s0-b", "s0-z"},
 			Deadline: time.Now().Add(time.Second), TopRecords: 10,
 		}
@@ -194,7 +199,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 50*ms)
 		defer cancel()
 		b := &forward.Batch{
-			Request:  &forward.Request{ID: "q", Method: "GET", Target: "/x", Header: map[string][]string{headerID: {"q"}}},
+			Request:  batchedRequest(),
 			Replicas: []string{"s0-b", "s1-b"}, Deadline: time.Now().Add(time.Minute),
 		}
 		began := time.Now()
@@ -206,3 +211,28 @@
 		}
 	})
 }
+
+// TestEndedBatchIsNotBegun guards against a node that was paused with a batch in its socket
+// and sends it on waking, after its sender has given the attempts up.
+func TestEndedBatchIsNotBegun(t *testing.T) {
+	run(t, shards(9, "b"), func(r *rig) {
+		f := r.node("b", nil)
+		r.ask(f, 10*ms)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		b := &forward.Batch{Request: batchedRequest(), Deadline: time.Now().Add(time.Second)}
+		for id := range r.replicas {
+			b.Replicas = append(b.Replicas, id)
+		}
+		err := f.ServeBatch(ctx, b, func(forward.PartReplies) error {
+			// The stream of a sender that has gone takes a while to fail.
+			time.Sleep(10 * ms)
+			return nil
+		})
+		r.Assert(err, qt.Equals, context.Canceled)
+		time.Sleep(100 * ms)
+		for id, rep := range r.replicas {
+			r.Assert(rep.count(), qt.Equals, 1, qt.Commentf("%s was asked again", id))
+		}
+	})
+}
--- a/node/forward/servebatch.go
+++ b/node/forward/servebatch.go
@@ -19,6 +19,10 @@
 // and counts the attempts. It calls deliver with replies that came at about the same time,
 // and returns once each replica has one, ctx has ended, or deliver has failed.
 func (f *Forwarder) ServeBatch(ctx context.Context, b *Batch, deliver func(PartReplies) error) error {
+	if ctx.Err() != nil {
+		// A paused process finds the batch and its end in the socket together.
+		return ctx.Err()
+	}
 	inbox := work.NewInbox[PartReply](len(b.Replicas))
 	calls := f.sendBatch(b, inbox)
 	defer func() {
--- a/node/relay/neighbours.go
+++ b/node/relay/neighbours.go
@@ -108,9 +108,9 @@
 		}
 		x.heard = true
 		silent.Stop()
-		r := expected(decodeReplies(m), x.answered)
-		if len(r.Replies) == 0 {
-			continue
+		r := decodeReplies(m)
+		if !x.accept(r) {
+			return errMalformed
 		}
 		if lacksReplica(r) {
 			n.failed(x.to, errBehind)
@@ -170,20 +170,21 @@
 	})
 }
 
-// expected keeps the replies that were asked for and have not come before. Records of a
-// group that holds another one cannot be used.
-func expected(r forward.PartReplies, answered []bool) forward.PartReplies {
-	kept := r.Replies[:0]
+// errMalformed tells that a node answered for a replica that it was not sent, or twice.
+var errMalformed = errors.New("malformed replies")
+
+// accept notes which replicas have answered, and reports whether each was asked and answers
+// for the first time. Records of a group of others cannot be used.
+func (x *batchExchange) accept(r forward.PartReplies) bool {
+	before := slices.Clone(x.answered)
 	for _, reply := range r.Replies {
-		if reply.Replica >= len(answered) || answered[reply.Replica] {
-			return forward.PartReplies{}
+		if reply.Replica >= len(x.answered) || x.answered[reply.Replica] {
+			x.answered = before
+			return false
 		}
-		kept = append(kept, reply)
-	}
-	for _, reply := range kept {
-		answered[reply.Replica] = true
+		x.answered[reply.Replica] = true
 	}
-	return forward.PartReplies{Replies: kept, Records: r.Records}
+	return true
 }
 
 // unanswered returns a reply for each replica that has none.
--- a/node/relay/neighbours_test.go
+++ b/node/relay/neighbours_test.go
@@ -141,3 +141,26 @@
 		w.Assert(used, qt.HasLen, 2)
 	})
 }
+
+// TestMalformedRepliesEndTheBatch guards against an attempt that is settled twice since a
+// faulty node tells of it twice, or of one that it was not sent.
+func TestMalformedRepliesEndTheBatch(t *testing.T) {
+	for name, replicas := range map[string][]int{"twice": {0, 0}, "not sent": {0, 7}} {
+		run(t, func(w *world) {
+			s := w.sender()
+			defer s.pool.Close()
+			for _, n := range w.big {
+				n.set(func() { n.answers = replicas })
+			}
+			_, replies, records, ok := s.send()
+			w.Assert(ok, qt.IsTrue)
+			w.Assert(records, qt.Equals, "", qt.Commentf("%s", name))
+			seen := make(map[int]bool)
+			for _, p := range replies {
+				w.Assert(p.Reply.Reason, qt.Equals, pb.Reason_REASON_PEER, qt.Commentf("%s", name))
+				seen[p.Replica] = true
+			}
+			w.Assert(seen, qt.DeepEquals, map[int]bool{0: true, 1: true}, qt.Commentf("%s", name))
+		})
+	}
+}
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -44,6 +44,8 @@
 	hurried   int
 	served    []forward.Request
 	batches   []forward.Batch
+	// answers are the positions of the replicas of a batch that have answered.
+	answers []int
 	// hold makes requests wait until their sender has gone; released counts those.
 	hold     bool
 	released int
@@ -101,16 +103,16 @@
 func (n *node) ServeBatch(ctx context.Context, b *forward.Batch, deliver func(forward.PartReplies) error) error {
 	n.mu.Lock()
 	n.batches = append(n.batches, *b)
-	hold := n.hold
+	hold, answers := n.hold, n.answers
 	n.mu.Unlock()
 	if hold {
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	r := forward.PartReplies{Records: []byte(n.member.Node)}
-	for i := range b.Replicas {
+	for _, i := range answers {
 		r.Replies = append(r.Replies, forward.PartReply{Replica: i, Reply: backend.ForwardReply{
-			Status: 200, Notes: backend.ReplyNotes{Signature: b.Replicas[i]}, Evidence: pb.Evidence_EVIDENCE_RAN,
+			Status: 200, Notes: backend.ReplyNotes{Signature: b.Replicas[i%len(b.Replicas)]}, Evidence: pb.Evidence_EVIDENCE_RAN,
 		}})
 	}
 	return deliver(r)
@@ -214,6 +216,7 @@
 	n := &node{
 		host:    name,
 		version: 3,
+		answers: []int{0, 1},
 		member:  coordinator.Member{Node: name, Address: l.Addr().String(), DataCentre: "a", Capacity: capacity},
 	}
 	n.server = relay.NewServer(relay.ServerOptions{Follower: n, Local: n, Leaving: n.Leaving}, nil)
