One message of a request, one pause after failures, one test of a neighbour's fault

Cause: batches wrote the fields of a relayed request, the pause of a node that failed and the reasons that tell of a neighbour a second and third time.

Change: a batch holds a RelayRequest; coordinators and neighbours share pauseAfter, whose limit of 2 s a coordinator's pause could not reach before (1.6 s); ofNeighbour is asked in three places.

--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -79,7 +79,7 @@
 
 // launch sends a reserved attempt.
 func (q *run) launch(number int) {
-	call := q.call(&q.story[number])
+	call := newCall(q.req, q.story[number].replica, q.deadline)
 	q.story[number].call = call
 	at := q.story[number]
 	s := q.services[at.shard]
@@ -168,10 +168,6 @@
 	return r
 }
 
-func (q *run) call(at *step) *backend.Forward {
-	return newCall(q.req, at.replica, q.deadline)
-}
-
 // newCall returns an attempt of a request at a replica.
 func newCall(req *Request, to *registry.Replica, deadline time.Time) *backend.Forward {
 	return &backend.Forward{
@@ -215,11 +211,7 @@
 		return upstream.Failed
 	case reply.Reason == pb.Reason_REASON_CANCELLED || reply.Reason == pb.Reason_REASON_DEADLINE:
 		return upstream.Abandoned
-	case reply.Reason == pb.Reason_REASON_LIMIT:
-		return upstream.Abandoned
-	case reply.Reason == pb.Reason_REASON_PEER || reply.Reason == pb.Reason_REASON_NO_REPLICA:
-		// The node that was to send it did not, or was lost: nothing is known of the
-		// replica.
+	case reply.Reason == pb.Reason_REASON_LIMIT || ofNeighbour(reply):
 		return upstream.Abandoned
 	}
 	if reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN {
--- a/node/forward/batch.go
+++ b/node/forward/batch.go
@@ -160,11 +160,15 @@
 	q.launch(number)
 }
 
-// unsent reports whether a node did not send an attempt that it got in a batch: it does not
-// know the replica, or no batches.
+// ofNeighbour reports whether a reply tells of the node that was to send an attempt, and
+// nothing of the replica: the node was lost, does not know the replica, or no batches.
+func ofNeighbour(reply *backend.ForwardReply) bool {
+	return reply.Reason == pb.Reason_REASON_PEER || reply.Reason == pb.Reason_REASON_NO_REPLICA
+}
+
+// unsent reports whether a node did not send an attempt that it got in a batch.
 func unsent(reply *backend.ForwardReply) bool {
-	there := reply.Reason == pb.Reason_REASON_PEER || reply.Reason == pb.Reason_REASON_NO_REPLICA
-	return there && reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN
+	return ofNeighbour(reply) && reply.Evidence == pb.Evidence_EVIDENCE_NOT_RUN
 }
 
 // takeGroup deals with the successful replies of a batch that came together. Their records
--- a/node/forward/reach.go
+++ b/node/forward/reach.go
@@ -76,8 +76,7 @@
 // note takes the end of an attempt.
 func (r *reachability) note(replica *registry.Replica, reply *backend.ForwardReply) {
 	answered := reply.Status != 0 || reply.Reason == pb.Reason_REASON_MISMATCH
-	if reply.Reason == pb.Reason_REASON_PEER || reply.Reason == pb.Reason_REASON_NO_REPLICA {
-		// The attempt was lost with the node that was to send it.
+	if ofNeighbour(reply) {
 		return
 	}
 	abandoned := reply.Reason == pb.Reason_REASON_CANCELLED || reply.Reason == pb.Reason_REASON_DEADLINE
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -194,12 +194,11 @@
 
 // hedges sends the hedges that are due and returns when the next one is.
 func (q *run) hedges() time.Duration {
-	hedging := q.hedging
 	size := q.f.opts.Source.FleetSize()
 	after := func(i int) time.Duration {
-		return hedging.After(q.services[i].spareUsed(size))
+		return q.hedging.After(q.services[i].spareUsed(size))
 	}
-	return q.query.Hedges(q.since(), hedging.Earliest(), after, func(i int) {
+	return q.query.Hedges(q.since(), q.hedging.Earliest(), after, func(i int) {
 		if !q.send(i, true) {
 			q.query.GiveUp(i)
 			return
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -17,18 +17,23 @@
 
 // encode makes the message of a request.
 func encode(req *forward.Request, leastVersion uint64, reserve time.Duration) *pb.RelayMessage {
-	return &pb.RelayMessage{Event: &pb.RelayMessage_Request{Request: &pb.RelayRequest{
-		RequestId:    []byte(req.ID),
-		Method:       []byte(req.Method),
-		Target:       []byte(req.Target),
-		Host:         []byte(req.Host),
-		Headers:      encodeHeader(req.Header),
-		Body:         req.Body,
-		ElapsedUs:    microseconds(time.Since(req.Arrived)),
-		PatienceUs:   microseconds(req.Patience),
-		LeastVersion: leastVersion,
-		ReserveUs:    microseconds(reserve),
-	}}}
+	m := encodeRequest(req)
+	m.LeastVersion = leastVersion
+	m.ReserveUs = microseconds(reserve)
+	return &pb.RelayMessage{Event: &pb.RelayMessage_Request{Request: m}}
+}
+
+func encodeRequest(req *forward.Request) *pb.RelayRequest {
+	return &pb.RelayRequest{
+		RequestId:  []byte(req.ID),
+		Method:     []byte(req.Method),
+		Target:     []byte(req.Target),
+		Host:       []byte(req.Host),
+		Headers:    encodeHeader(req.Header),
+		Body:       req.Body,
+		ElapsedUs:  microseconds(time.Since(req.Arrived)),
+		PatienceUs: microseconds(req.Patience),
+	}
 }
 
 // begin makes the word to begin.
@@ -155,12 +160,7 @@
 // encodeBatch makes the message of a batch.
 func encodeBatch(b *forward.Batch) *pb.GatherBatch {
 	return &pb.GatherBatch{
-		RequestId:  []byte(b.Request.ID),
-		Method:     []byte(b.Request.Method),
-		Target:     []byte(b.Request.Target),
-		Host:       []byte(b.Request.Host),
-		Headers:    encodeHeader(b.Request.Header),
-		Body:       b.Request.Body,
+		Request:    encodeRequest(b.Request),
 		LeftUs:     microseconds(time.Until(b.Deadline)),
 		TopRecords: uint32(b.TopRecords),
 		Replicas:   encodeStrings(b.Replicas),
@@ -170,14 +170,7 @@
 // decodeBatch reads the message of a batch that arrived now.
 func decodeBatch(m *pb.GatherBatch, now time.Time) *forward.Batch {
 	return &forward.Batch{
-		Request: &forward.Request{
-			ID:     string(m.GetRequestId()),
-			Method: string(m.GetMethod()),
-			Target: string(m.GetTarget()),
-			Host:   string(m.GetHost()),
-			Header: decodeHeader(m.GetHeaders()),
-			Body:   m.GetBody(),
-		},
+		Request:    decode(m.GetRequest(), now),
 		Replicas:   decodeStrings(m.GetReplicas()),
 		Deadline:   now.Add(duration(m.GetLeftUs())),
 		TopRecords: int(min(m.GetTopRecords(), maxRecords)),
--- a/policy/coordinator/coordinator.go
+++ b/policy/coordinator/coordinator.go
@@ -265,12 +265,17 @@
 		return false
 	}
 	first = p.streak == 0
-	pause := min(minPause<<min(p.streak, 4), maxPause)
-	p.pauseUntil = now.Add(pause)
+	p.pauseUntil = now.Add(pauseAfter(p.streak))
 	p.streak++
 	return first
 }
 
+// pauseAfter is how long a node that failed is left alone after as many failures before.
+func pauseAfter(failures int) time.Duration {
+	const doublings = 5
+	return min(minPause<<min(failures, doublings), maxPause)
+}
+
 // LastHeard returns when a heartbeat was answered last, by any coordinator.
 func (t *Table) LastHeard() time.Time {
 	var last time.Time
--- a/policy/coordinator/neighbours.go
+++ b/policy/coordinator/neighbours.go
@@ -60,15 +60,13 @@
 		case !members[name]:
 			delete(n.failed, name)
 		case !now.Before(state.probeAt):
-			state.probeAt = now.Add(state.pause())
+			state.probeAt = now.Add(pauseAfter(state.streak))
 			return state.member, true
 		}
 	}
 	return Member{}, false
 }
 
-func (s *failure) pause() time.Duration { return min(minPause<<min(s.streak, 5), maxPause) }
-
 // Answered notes that a node has answered, and reports whether it was out of use.
 func (n *Neighbours) Answered(node string) (again bool) {
 	again = n.failed[node] != nil
@@ -86,7 +84,7 @@
 	} else {
 		state.streak++
 	}
-	state.probeAt = now.Add(state.pause())
+	state.probeAt = now.Add(pauseAfter(state.streak))
 	return first
 }
 
