--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -270,12 +270,8 @@
 }
 
 // closeUnheard closes idle connections that were opened before an exchange began that
-// got no byte, and have received nothing since.
-//
-// Failure: something between the two ends forgot all open connections, which then
-// swallow every request. Symptom: each of them costs one request its wait. Closing
-// the others with the first one bounds that to one for each replica; a replica that
-// was only slow costs new connections.
+// got no byte, and have received nothing since: where a middlebox has dropped its state, each
+// of them would swallow one request. A replica that was only slow costs new connections.
 func (p *pool) closeUnheard(since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/backend/prove.go
+++ b/node/backend/prove.go
@@ -13,13 +13,10 @@
 	proveTimeout = 100 * time.Millisecond
 )
 
-// prove asks for the status on a connection before a non-idempotent request is
-// written on it, unless it was heard of a moment ago.
-//
-// Failure: a connection that has gone silent swallows the request. Symptom: the
-// caller is told "unknown" although the request never arrived, and it cannot be
-// sent again. One round trip before the write turns this into a change of
-// connection; what remains is a connection that goes silent within quietBound.
+// prove asks for the status on a connection before a non-idempotent request is written on
+// it, unless it was heard of a moment ago. A silent connection would leave the outcome
+// unknown although the request never arrived; one that goes silent within quietBound still
+// does.
 func (p *pool) prove(ctx context.Context, cn *conn) bool {
 	if time.Since(cn.wire.lastRead()) < quietBound || p.unused(cn) {
 		return true
--- a/node/backend/silence.go
+++ b/node/backend/silence.go
@@ -25,16 +25,11 @@
 	return max(p.client.opts.SilenceAfter, silenceFactor*p.slowest)
 }
 
-// examine finds out whether a connection without a byte since the given time
-// has gone silent.
-//
-// Failure: something between the two ends lost track of open connections, which
-// then swallow every request although the replica is well. Symptom: attempts on
-// them end at their deadline while new connections answer. A slow replica shows
-// no byte either; so the connection is condemned only when a newer connection
-// to the same replica has received something since. Then every other idle
-// connection from before is probed as well, so that one loss of state does not
-// cost one attempt for each connection.
+// examine finds out whether a connection without a byte since the given time has gone
+// silent. A slow replica shows no byte either, so that the connection is condemned only when
+// a newer one to the same replica has received something since. Then every other idle
+// connection from before is probed too: a lost state of the path costs one attempt, not one
+// for each connection.
 func (p *pool) examine(cn *conn, since time.Time) {
 	if heard(cn, since) || !p.beginExamination() {
 		return
--- a/node/node/shutdown.go
+++ b/node/node/shutdown.go
@@ -51,17 +51,10 @@
 	n.log.Info("shutdown: done")
 }
 
-// leaveLast announces the leave of the only node of a data centre, once its callers
-// have their answers.
-//
-// Failure: whoever announces its leave owns nothing from then on and uses no cold
-// replica. With another node there, that one takes over; without one, a shard whose
-// other replicas are cold, or at a node that was just lost, had none left. Symptom:
-// a query in flight at the node was partial although a graceful shutdown cuts no
-// request. Staying an ordinary member until the callers are answered suffices, and
-// changes no rule of ownership: no other node is there that waits for its replicas.
-// The context is not that of the shutdown: a drain that used up its time must not
-// keep the news from peers, which would wait for a dead member.
+// leaveLast announces the leave of the only node of a data centre once its callers have their
+// answers. Whoever announces its leave owns no replica from then on, and nobody else there
+// could take over for the queries in flight. The context is not that of the shutdown: a
+// drain that used up its time must not keep the news from peers.
 func (n *Node) leaveLast(ctx context.Context) {
 	n.ring.Add(ring.Shutdown, n.settings.GetNode(), "leaves last of its data centre")
 	n.fleet.Leave(ctx)
--- a/node/peer/prove.go
+++ b/node/peer/prove.go
@@ -41,13 +41,9 @@
 	return time.Since(h.at[addr]) >= quietBound
 }
 
-// prove pings a peer before a non-idempotent request is sent to it, unless it
-// answered a moment ago; a connection that does not answer is replaced once.
-//
-// Failure: a connection that has gone silent swallows the request. Symptom: the
-// caller is told "unknown" although no backend server ever got the request. One
-// round trip turns this into a change of connection or of replica; what remains
-// is a connection that goes silent within quietBound.
+// prove pings a peer before a non-idempotent request is sent to it, unless it answered a
+// moment ago; a connection that does not answer is replaced once. A silent connection would
+// leave the outcome unknown although no backend server got the request.
 func (c *Client) prove(ctx context.Context, addr string) bool {
 	if !c.heard.quiet(addr) {
 		return true
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -102,14 +102,9 @@
 	return Decision{Probe: probe}
 }
 
-// probes reports whether a query may be admitted although it is expected to take
-// longer than it has.
-//
-// Failure: the expected time follows queries that were admitted. When a few slow
-// ones, right after a start, took most of the usual deadline, none is admitted any
-// more, and nothing ever corrects it. Symptom: a node refuses each query as
-// "deadline_too_short" while its backend servers are idle. One query a second that
-// may fail costs little, and is enough to find out.
+// probes reports whether a query may be admitted although it is expected to take longer than
+// it has. The expected time follows admitted queries only, so that without a probe a second
+// a few slow ones would keep all later ones out.
 func (a *Controller) probes(now time.Time) bool {
 	return !a.admitted.IsZero() && now.Sub(a.admitted) >= probeAfter
 }
