Move a service to another version when operators order it

Orders in the platform's store were not read, no status was written, and new replicas of a bad version got their full share at once.

node/directory reads orders, statuses and leaders through the one watch. A version that a service has not run before is held for 4 s unless an order comes. node/forward applies the gate to all attempts, hedges, retries and batches included. node/upgrader leads: one node under a lease of 1 s grants phases to all nodes five times a second and writes the status, fenced by the revisions of order, status and lease. platform/ translates.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -187,7 +187,7 @@
 // publish stores a new view if something changed, and passes it to Options.Changed.
 func (d *Directory) publish(changed bool) {
 	now := time.Now()
-	expired := d.state.replicas.Expire(now)
+	expired := d.state.replicas.Expire(now) || d.state.holdEnded(now)
 	d.updateFleet(now)
 	if d.state.index == nil || !changed && !expired || !d.following.isOpen() {
 		return
--- a/node/directory/directory_test.go
+++ b/node/directory/directory_test.go
@@ -19,6 +19,7 @@
 	"github.com/carobmill/carobmill/policy/quarantine"
 	"github.com/carobmill/carobmill/policy/registry"
 	"github.com/carobmill/carobmill/policy/route"
+	"github.com/carobmill/carobmill/policy/upgrade"
 )
 
 var errUnavailable = errors.New("connection refused")
@@ -146,6 +147,11 @@
 }
 
 func (s *fakeStore) Revoke(context.Context, uint64) error { return nil }
+func (s *fakeStore) LeadUpgrade(context.Context, upgrade.Record, string, time.Duration) (term, lease uint64, err error) {
+	return 0, 0, nil
+}
+
+func (s *fakeStore) EndUpgrade(context.Context, upgrade.Record, upgrade.State) error { return nil }
 
 func configurationRecord(version uint64) directory.Record {
 	return directory.Record{
--- a/node/directory/read.go
+++ b/node/directory/read.go
@@ -18,6 +18,7 @@
 	began := time.Now()
 	var first, last uint64
 	listed := make(map[Area]map[string]bool)
+	upgrades := make(listedUpgrades)
 	changed := false
 	for more, cursor := true, ""; more; more = cursor != "" {
 		page, err := d.readPage(ctx, cursor)
@@ -35,11 +36,15 @@
 				listed[r.Area] = make(map[string]bool)
 			}
 			listed[r.Area][r.Name] = true
+			if r.Area == AreaUpgrades {
+				upgrades.add(r)
+			}
 			changed = d.apply(now, r) || changed
 		}
 		cursor = page.NextCursor
 	}
 	changed = d.removeUnlisted(listed, first) || changed
+	changed = d.state.removeUnlistedUpgrades(upgrades, first) || changed
 	// Pages are not a snapshot. The watch continues from the revision of the first page;
 	// records that it repeats are no newer than those already applied.
 	d.state.revision = max(d.state.revision, first)
--- a/node/directory/store.go
+++ b/node/directory/store.go
@@ -13,6 +13,7 @@
 	"github.com/carobmill/carobmill/policy/quarantine"
 	"github.com/carobmill/carobmill/policy/registry"
 	"github.com/carobmill/carobmill/policy/route"
+	"github.com/carobmill/carobmill/policy/upgrade"
 )
 
 // Errors of a Store, to be tested with errors.Is. Any other error means that the store
@@ -23,6 +24,8 @@
 	ErrCompacted = errors.New("history was compacted")
 	// ErrLeaseEnded: the lease has expired or was revoked.
 	ErrLeaseEnded = errors.New("lease has ended")
+	// ErrConflict: a key has changed since the revision that the write depends on.
+	ErrConflict = errors.New("key was changed by another writer")
 )
 
 // Area is a part of the store.
@@ -34,11 +37,12 @@
 	AreaNodes
 	AreaOperators
 	AreaQuarantine
+	AreaUpgrades
 )
 
 // Record is one decoded item of the store. One of Configuration, Replica,
-// ExcludedDataCentre, Node and Quarantined is set, unless the record is removed or cannot be
-// decoded.
+// ExcludedDataCentre, Node, Quarantined, Order, Status and Leader is set, unless the record is
+// removed or cannot be decoded.
 type Record struct {
 	Area Area
 	// Name identifies the record within its area. For a replica it is the ID.
@@ -58,8 +62,24 @@
 	Node               *coordinator.Member
 	// Quarantined is a request that a node has quarantined.
 	Quarantined *quarantine.Fingerprint
+	// Upgrade is the kind of a record of AreaUpgrades, whose Name is the service. Its
+	// revision is that of the record.
+	Upgrade UpgradeRecord
+	Order   *upgrade.Order
+	Status  *upgrade.Status
+	Leader  *upgrade.Leader
 }
 
+// UpgradeRecord is a kind of records about the upgrade of a service.
+type UpgradeRecord int
+
+// Kinds of records of AreaUpgrades.
+const (
+	UpgradeOrder UpgradeRecord = iota
+	UpgradeStatus
+	UpgradeLeader
+)
+
 // Page is a part of the store's records, or a set of changes.
 type Page struct {
 	Records []Record
@@ -86,6 +106,14 @@
 	Renew(ctx context.Context, lease uint64) error
 	// Revoke ends a lease and removes what is registered under it.
 	Revoke(ctx context.Context, lease uint64) error
+	// LeadUpgrade makes a node the leader of an upgrade under a new lease, and writes the
+	// status Running unless the record has it. It fails with ErrConflict if the record has
+	// changed in the store or has a leader. The lease is returned also when the outcome is
+	// unknown.
+	LeadUpgrade(ctx context.Context, r upgrade.Record, node string, ttl time.Duration) (term, lease uint64, err error)
+	// EndUpgrade writes the final status of an upgrade and removes its leader. It fails with
+	// ErrConflict if the record has changed in the store.
+	EndUpgrade(ctx context.Context, r upgrade.Record, final upgrade.State) error
 	// Quarantine records a quarantined request under a new lease, which is not renewed.
 	Quarantine(ctx context.Context, request quarantine.Fingerprint, ttl time.Duration) error
 }
--- a/node/directory/view.go
+++ b/node/directory/view.go
@@ -6,6 +6,7 @@
 	"github.com/carobmill/carobmill/policy/coordinator"
 	"github.com/carobmill/carobmill/policy/registry"
 	"github.com/carobmill/carobmill/policy/route"
+	"github.com/carobmill/carobmill/policy/upgrade"
 )
 
 // View is the configuration and the usable replicas at one moment. Immutable.
@@ -17,6 +18,15 @@
 	// made.
 	Revision uint64
 	At       time.Time
+	// Upgrades holds the upgrades that operators have ordered, by service.
+	Upgrades map[string]Upgrade
+}
+
+// Upgrade is what the store holds about the upgrade of a service.
+type Upgrade struct {
+	upgrade.Record
+	// Witnessed is set if this node followed the store when the order was written.
+	Witnessed bool
 }
 
 // state collects the store's records. Only the goroutine of Directory.Run uses it.
@@ -30,7 +40,13 @@
 	configRevision     uint64
 	index              *route.Index
 	nodes              *coordinator.Registrations
-	revision           uint64
+	// upgrades holds the records of AreaUpgrades by service.
+	upgrades map[string]*upgradeRecords
+	// versions remembers which versions each service has run, and heldUntil is the end of the
+	// first hold in the newest view; zero without one.
+	versions  *upgrade.Versions
+	heldUntil time.Time
+	revision  uint64
 }
 
 func newState() *state {
@@ -39,6 +55,8 @@
 		excluded:           make(map[string]string),
 		exclusionRevisions: make(map[string]uint64),
 		nodes:              coordinator.NewRegistrations(),
+		upgrades:           make(map[string]*upgradeRecords),
+		versions:           upgrade.NewVersions(),
 	}
 }
 
@@ -47,9 +65,15 @@
 	for _, name := range s.excluded {
 		excluded[name] = true
 	}
+	upgrades := s.upgradeViews()
+	replicas := s.replicas.Usable(excluded, func(r *registry.Replica) bool {
+		return upgrades[r.Service].Excludes(r.Version)
+	})
+	s.holdNewVersions(now, replicas, upgrades)
 	return &View{
 		Index:    s.index,
-		Replicas: s.replicas.Usable(excluded),
+		Upgrades: upgrades,
+		Replicas: replicas,
 		Revision: s.revision,
 		At:       now,
 	}
@@ -66,6 +90,8 @@
 		return s.applyNode(now, r)
 	case AreaOperators:
 		return s.applyOperators(r)
+	case AreaUpgrades:
+		return s.applyUpgrade(r)
 	}
 	return false
 }
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -48,13 +48,14 @@
 	s := q.services[i]
 	now := time.Now()
 	extra := q.attemptCount(i) > 0
+	size := q.f.opts.Source.FleetSize()
 	s.mu.Lock()
-	st := s.balancer.Pick(now, request)
+	st := s.pick(now, request, extra, size)
 	denied := ""
 	switch {
 	case st == nil:
 		denied = deniedNoReplica
-	case extra && !s.takeBudget(now, q.f.opts.Source.FleetSize(), request.Optional || q.query.Dispensable(i)):
+	case extra && !s.takeBudget(now, size, request.Optional || q.query.Dispensable(i)):
 		denied = deniedNoBudget
 	}
 	if denied != "" {
@@ -62,7 +63,7 @@
 		q.denials = append(q.denials, denial{shard: i, at: q.elapsed(), reason: denied, hedge: request.Optional})
 		return false
 	}
-	handle := s.balancer.RecordSent(now, st, request)
+	handle := s.recordSent(now, st, request, extra)
 	replica := st.Replica
 	s.mu.Unlock()
 	at := q.elapsed()
@@ -111,7 +112,7 @@
 		a := &q.attempts[i]
 		s := q.services[a.shard]
 		s.mu.Lock()
-		s.balancer.UndoSent(a.state, a.handle)
+		s.undoSent(a)
 		s.mu.Unlock()
 	}
 	q.attempts = nil
@@ -204,7 +205,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.Done(time.Now(), st, sample)
+	s.recordEnd(time.Now(), st, sample, reply)
 }
 
 // resultOf classifies a reply for the balancer.
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/carobmill/carobmill/policy/registry"
 	"github.com/carobmill/carobmill/policy/retrybudget"
 	"github.com/carobmill/carobmill/policy/route"
+	"github.com/carobmill/carobmill/policy/upgrade"
 	"github.com/carobmill/carobmill/policy/upstream"
 )
 
@@ -100,14 +101,16 @@
 	Source  Source
 	Backend *backend.Client
 	Dialect backend.Dialect
-	// DataCentre is that of this node.
-	DataCentre string
+	// Node and DataCentre are those of this node.
+	Node, DataCentre string
 	// BatchSender sends attempts at replicas of other data centres through nodes there. If
 	// nil, this node sends all attempts itself.
 	BatchSender BatchSender
 	// RetryBudget bounds the retries and hedges of the whole fleet.
 	RetryBudget retrybudget.Bound
-	Log         logrus.FieldLogger
+	// Exposure bounds the requests of the whole fleet to a version on trial.
+	Exposure upgrade.Bound
+	Log      logrus.FieldLogger
 	// Record is called with each completed request that matched a route; may be nil.
 	Record func(r *route.Route, a *Answer, took time.Duration)
 	// Event receives decisions about requests that crash replicas; may be nil.
@@ -130,6 +133,8 @@
 	logLimiter telemetry.LogLimiter
 	reach      *reachability
 	suspects   *suspects
+	// gates is the number of services with a gate.
+	gates atomic.Int64
 	// replicas holds the replicas of the newest view by ID.
 	replicas atomic.Pointer[map[string]*registry.Replica]
 }
@@ -161,6 +166,8 @@
 	budget   *retrybudget.Budget
 	// replicas are those of the balancer.
 	replicas []*registry.Replica
+	// gate is set while the service is upgraded.
+	gate *upgrade.Gate
 }
 
 // service returns the state of a service, which is created if there is none.
@@ -182,6 +189,7 @@
 // idle. The state of removed services and routes is deleted.
 func (f *Forwarder) Update(v *directory.View) {
 	f.reach.update(v)
+	f.updateGates(v)
 	size := f.opts.Source.FleetSize()
 	current := make(map[string]*registry.Replica)
 	for name, replicas := range v.Replicas {
@@ -226,6 +234,9 @@
 	defer s.mu.Unlock()
 	before, s.replicas = s.replicas, replicas
 	s.balancer.SetReplicas(replicas)
+	if s.gate != nil {
+		s.gate.SetReplicas(replicas)
+	}
 	return before
 }
 
--- a/node/forward/servebatch.go
+++ b/node/forward/servebatch.go
@@ -66,11 +66,7 @@
 func (f *Forwarder) refuseBatch(b *Batch, c *content) PartReplies {
 	r := PartReplies{Suspects: f.suspects.records(c)}
 	for i := range b.Replicas {
-		r.Replies = append(r.Replies, PartReply{Replica: i, Reply: backend.ForwardReply{
-			Status:   http.StatusServiceUnavailable,
-			Metadata: backend.ReplyMetadata{NotRun: true},
-			Evidence: pb.Evidence_EVIDENCE_NOT_RUN,
-		}})
+		r.Replies = append(r.Replies, PartReply{Replica: i, Reply: refusedReply()})
 	}
 	return r
 }
@@ -91,6 +87,10 @@
 			}})
 			continue
 		}
+		if f.upgradeForbids(replica) {
+			inbox.Put(PartReply{Replica: i, Reply: refusedReply()})
+			continue
+		}
 		call := newCall(b.Request, replica, b.Deadline)
 		calls = append(calls, call)
 		go func() {
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -16,9 +16,11 @@
 	"github.com/carobmill/carobmill/node/relay"
 	"github.com/carobmill/carobmill/node/ring"
 	"github.com/carobmill/carobmill/node/telemetry"
+	"github.com/carobmill/carobmill/node/upgrader"
 	"github.com/carobmill/carobmill/policy/coordinator"
 	"github.com/carobmill/carobmill/policy/quarantine"
 	"github.com/carobmill/carobmill/policy/retrybudget"
+	"github.com/carobmill/carobmill/policy/upgrade"
 )
 
 const (
@@ -35,6 +37,9 @@
 	// balancerReactionTime is the time that the balancer takes to stop sending callers to
 	// an unready node: it probes every second and acts on the second failure.
 	balancerReactionTime = 2200 * time.Millisecond
+	// maxGrantTTL is how long a node tests a version without an instruction of the node that
+	// leads the upgrade. A third of the rollback bound limits it further.
+	maxGrantTTL = 1500 * time.Millisecond
 	// maxHeaderBytes bounds a request's headers.
 	maxHeaderBytes = 64 << 10
 	// headerTimeout bounds the time to read a request's headers.
@@ -69,6 +74,7 @@
 	}
 	g.buildDirectory(self, adapter.Store())
 	g.buildForwarder(self, adapter.Dialect())
+	g.buildUpgrader(self, adapter.Store())
 	g.buildRelay(self, credentials)
 	g.buildListeners(adapter, metricsHandler)
 	return g, nil
@@ -104,6 +110,7 @@
 		Source:      g.directory,
 		Backend:     g.backends,
 		Dialect:     dialect,
+		Node:        self.Node,
 		DataCentre:  g.settings.GetDataCentre(),
 		BatchSender: relay.NewNeighbours(self, g.peers, g.directory.Fleet, g.log),
 		RetryBudget: retrybudget.Bound{
@@ -111,6 +118,11 @@
 			Slack:  forwarding.GetExtraSlack(),
 			Window: seconds(forwarding.GetExtraWindowS()),
 		},
+		Exposure: upgrade.Bound{
+			Share:    forwarding.GetExposureRatio(),
+			Slack:    forwarding.GetExposureSlack(),
+			GrantTTL: min(maxGrantTTL, time.Duration(forwarding.GetRollbackBoundMs())*time.Millisecond/3),
+		},
 		Log:             g.log,
 		Record:          g.record,
 		Event:           g.recordEvent,
@@ -125,6 +137,20 @@
 	})
 }
 
+// buildUpgrader builds the upgrader, which moves services to other versions.
+func (g *Gateway) buildUpgrader(self coordinator.Member, store directory.Store) {
+	g.upgrader = upgrader.New(upgrader.Options{
+		Self:      self,
+		Directory: g.directory,
+		Store:     store,
+		Peers:     relay.NewUpgradeClient(g.peers),
+		Gates:     g.forwarder,
+		Leaving:   g.stopping.Load,
+		Log:       g.log,
+		Event:     g.recordEvent,
+	})
+}
+
 // buildRelay builds the client that relays requests to coordinators, and the server that
 // accepts relayed requests.
 func (g *Gateway) buildRelay(self coordinator.Member, credentials peer.CredentialPair) {
@@ -142,6 +168,7 @@
 	g.peerServer = relay.NewServer(relay.ServerOptions{
 		Directory: g.directory,
 		Local:     g.forwarder,
+		Upgrades:  g.upgrader,
 		Leaving:   g.stopping.Load,
 	}, credentials.Server)
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/carobmill/carobmill/node/relay"
 	"github.com/carobmill/carobmill/node/ring"
 	"github.com/carobmill/carobmill/node/telemetry"
+	"github.com/carobmill/carobmill/node/upgrader"
 	"github.com/carobmill/carobmill/policy/route"
 )
 
@@ -58,6 +59,7 @@
 	forwarder *forward.Forwarder
 	relay     *relay.Relay
 	suspects  *relay.SuspectSync
+	upgrader  *upgrader.Upgrader
 	peers     *peer.Pool
 
 	callerServer *http.Server
@@ -108,7 +110,10 @@
 }
 
 // updateView applies a new view of the directory.
-func (g *Gateway) updateView(v *directory.View) { g.forwarder.Update(v) }
+func (g *Gateway) updateView(v *directory.View) {
+	g.forwarder.Update(v)
+	g.upgrader.ViewChanged()
+}
 
 // record counts a request that was answered by this node, for its own caller or for a node
 // that relayed the request.
@@ -273,6 +278,7 @@
 	tasks.Go(func() { g.forwarder.Run(background) })
 	tasks.Go(func() { g.relay.Run(background) })
 	tasks.Go(func() { g.suspects.Run(background) })
+	tasks.Go(func() { g.upgrader.Run(background) })
 	tasks.Go(func() { g.storeQuarantined(background) })
 	listenerErrs := make(chan error, 3)
 	go func() { listenerErrs <- g.adminServer.Serve(listeners.Operators) }()
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -16,6 +16,7 @@
 	"github.com/carobmill/carobmill/node/peer"
 	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/coordinator"
+	"github.com/carobmill/carobmill/policy/upgrade"
 )
 
 const (
@@ -60,11 +61,20 @@
 type ServerOptions struct {
 	Directory Directory
 	Local     LocalForwarder
+	// Upgrades applies the grants of other nodes that lead upgrades; may be nil.
+	Upgrades UpgradeGrants
 	// Leaving reports whether the node is shutting down. It still accepts requests, but
 	// reports itself as unavailable to senders.
 	Leaving func() bool
 }
 
+// UpgradeGrants applies grants of upgrades.
+type UpgradeGrants interface {
+	// Grant applies a grant and returns the report of this node's gate. known is false if
+	// this node does not know the order, or knows a later leader.
+	Grant(g upgrade.Grant) (r upgrade.Report, known bool)
+}
+
 // Server accepts requests and batches from other nodes.
 type Server struct {
 	peerv1.UnimplementedCoordinatorServer
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -37,6 +37,8 @@
 	// twice its capacity, so nodes of equal capacity do not relay to each other.
 	DefaultCapacity    = 1
 	DefaultNewsBoundMs = 5000
+	// DefaultRollbackBoundMs is the default of rollback_bound_ms.
+	DefaultRollbackBoundMs = 5000
 )
 
 // Load reads and checks the settings in a file. It returns either the settings with
@@ -123,6 +125,7 @@
 		f.Capacity = DefaultCapacity
 	}
 	f.NewsBoundMs = orDefault(f.NewsBoundMs, DefaultNewsBoundMs)
+	f.RollbackBoundMs = orDefault(f.RollbackBoundMs, DefaultRollbackBoundMs)
 }
 
 func orDefault(value, fallback uint32) uint32 {
