--- a/cmd/carobmillctl/ctl_test.go
+++ b/cmd/carobmillctl/ctl_test.go
@@ -197,3 +197,22 @@
 	c.Assert(code, qt.Equals, exitFailed)
 	c.Assert(stderr, qt.Contains, "refused")
 }
+
+// Guards against an upgrade that operators cannot follow: its state, leader, phases and the
+// requests that the new version has received.
+func TestStatusListsUpgrades(t *testing.T) {
+	c := qt.New(t)
+	address := startNode(c, func() []*pb.NodeStatus {
+		return []*pb.NodeStatus{
+			{Node: "a", Upgrades: []*pb.UpgradeStatus{{
+				Service: "desk", Version: "v2", State: "running", Leader: "a", Phase: "canary", Requests: 100, Exposed: 9,
+			}}},
+			{Node: "b", Upgrades: []*pb.UpgradeStatus{{
+				Service: "desk", Version: "v2", State: "running", Leader: "a", Phase: "canary", Requests: 50, Exposed: 4,
+			}}},
+		}
+	})
+	code, stdout, stderr := runTool("status", "-node", address)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", stderr))
+	c.Assert(stdout, qt.Matches, `(?s).*desk +v2 +running +a +canary on 2 +150 +13\n.*`)
+}
--- a/cmd/carobmillctl/status.go
+++ b/cmd/carobmillctl/status.go
@@ -131,6 +131,7 @@
 	inv.printNodes(list)
 	inv.printMembers(list)
 	inv.printReplicas(list, all)
+	inv.printUpgrades(list)
 }
 
 // printVersions prints the versions in force with the number of nodes that have each.
--- a/node/forward/upgrade.go
+++ b/node/forward/upgrade.go
@@ -70,6 +70,22 @@
 	return s.gate.Report(now, s.balancer.InFlight(old)), true
 }
 
+// UpgradeReport returns the state of a service's gate; false if it has none.
+func (f *Forwarder) UpgradeReport(service string) (upgrade.Report, bool) {
+	f.mu.Lock()
+	s := f.services[service]
+	f.mu.Unlock()
+	if s == nil {
+		return upgrade.Report{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gate == nil {
+		return upgrade.Report{}, false
+	}
+	return s.gate.Report(time.Now(), 0), true
+}
+
 // pick selects a replica for an attempt. extra is set for all attempts of a shard other than
 // its first. s.mu is held.
 func (s *service) pick(now time.Time, request upstream.Request, extra bool, size float64) *upstream.State {
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -139,6 +139,7 @@
 
 // buildUpgrader builds the upgrader, which moves services to other versions.
 func (g *Gateway) buildUpgrader(self coordinator.Member, store directory.Store) {
+	g.metrics.AddGaugeSource(g.reportUpgrades)
 	g.upgrader = upgrader.New(upgrader.Options{
 		Self:      self,
 		Directory: g.directory,
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -232,6 +232,7 @@
 		Ready:         ready,
 		UnreadyReason: reason,
 		MembersAlive:  uint32(len(g.directory.Fleet().Members)),
+		Upgrades:      g.upgradeStatus(),
 	}
 	if v := g.directory.View(); v != nil {
 		status.ConfigVersion = v.Index.Version
--- /dev/null
+++ b/policy/upgrade/gate_test.go
@@ -0,0 +1,79 @@
+package upgrade_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/carobmill/carobmill/policy/registry"
+	"github.com/carobmill/carobmill/policy/upgrade"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	order = upgrade.Order{Service: "s", Version: "v2", Period: period, Revision: 5}
+	bound = upgrade.Bound{Share: 0.1, Slack: 50, GrantTTL: time.Second}
+	oldR  = &registry.Replica{ID: "o", Service: "s", Version: "v1"}
+	newR  = &registry.Replica{ID: "n", Service: "s", Version: "v2"}
+)
+
+// grantedGate returns a gate in the load phase.
+func grantedGate(witnessed bool) *upgrade.Gate {
+	g := upgrade.NewGate(start, order, bound, 0, witnessed)
+	g.SetReplicas([]*registry.Replica{oldR, newR})
+	g.Apply(start, upgrade.Grant{Service: "s", Order: 5, Term: 1, Phase: upgrade.Load, Trial: []string{"n"}})
+	return g
+}
+
+// exposedAfter sends requests in one moment and returns how many went to the new version.
+func exposedAfter(g *upgrade.Gate, requests int, at time.Time) int {
+	n := 0
+	for range requests {
+		r := oldR
+		if g.Choose(at, false, 1).New {
+			r = newR
+			n++
+		}
+		g.Sent(r, false)
+	}
+	return n
+}
+
+// Guards against a version that goes on receiving requests after its leader was lost: the
+// trial may have ended without this node's knowledge.
+func TestGrantOfATrialExpires(t *testing.T) {
+	g := grantedGate(true)
+	qt.Assert(t, exposedAfter(g, 100, start.Add(900*time.Millisecond)) > 0, qt.IsTrue)
+	qt.Assert(t, exposedAfter(g, 100, start.Add(1100*time.Millisecond)), qt.Equals, 0)
+}
+
+// Guards against a fleet that spends the slack twice when its nodes restart during a trial.
+func TestNodeThatStartsDuringATrialHasNoSlack(t *testing.T) {
+	qt.Assert(t, exposedAfter(grantedGate(true), 100, start), qt.Equals, 49)
+	qt.Assert(t, exposedAfter(grantedGate(false), 100, start), qt.Equals, 8)
+}
+
+// Guards against an ordinary release whose replicas are not used, and against a version that
+// receives requests before its order is known.
+func TestVersionOfTheServiceIsHeldOnlyForAWhile(t *testing.T) {
+	c := qt.New(t)
+	v := upgrade.NewVersions()
+	v.Observe(start, "s", []string{"v1"})
+	c.Assert(v.Held(start, "s", "v1"), qt.IsFalse)
+	v.Observe(start, "s", []string{"v1", "v2"})
+	c.Assert(v.Held(start.Add(upgrade.HoldTime-1), "s", "v2"), qt.IsTrue)
+	c.Assert(v.Held(start.Add(upgrade.HoldTime), "s", "v2"), qt.IsFalse)
+}
+
+// Guards against a status of an earlier order that ends the next one.
+func TestStatusOfAnEarlierOrderDoesNotCount(t *testing.T) {
+	c := qt.New(t)
+	r := upgrade.Record{Order: order, Status: upgrade.Status{Service: "s", Version: "v2", State: upgrade.Complete, Revision: 4}}
+	c.Assert(r.Active(), qt.IsTrue)
+	c.Assert(r.Excludes("v1"), qt.IsFalse)
+	r.Status.Revision = 6
+	c.Assert(r.Active(), qt.IsFalse)
+	c.Assert(r.Excludes("v1"), qt.IsTrue)
+	c.Assert(r.Excludes("v2"), qt.IsFalse)
+}
