--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -35,10 +35,13 @@
 	DefaultGraceS       = 30
 	// DefaultCapacity is in cores. A node relays requests only to nodes of at least
 	// twice its capacity, so nodes of equal capacity do not relay to each other.
-	DefaultCapacity    = 1
-	DefaultNewsBoundMs = 5000
-	// DefaultRollbackBoundMs is the default of rollback_bound_ms.
+	DefaultCapacity        = 1
+	DefaultNewsBoundMs     = 5000
 	DefaultRollbackBoundMs = 5000
+	// DefaultExposureRatio and DefaultExposureSlack apply together. Without any exposure, a
+	// version would be used untested.
+	DefaultExposureRatio = 0.05
+	DefaultExposureSlack = 20
 )
 
 // Load reads and checks the settings in a file. It returns either the settings with
@@ -126,6 +129,9 @@
 	}
 	f.NewsBoundMs = orDefault(f.NewsBoundMs, DefaultNewsBoundMs)
 	f.RollbackBoundMs = orDefault(f.RollbackBoundMs, DefaultRollbackBoundMs)
+	if f.ExposureRatio == 0 && f.ExposureSlack == 0 {
+		f.ExposureRatio, f.ExposureSlack = DefaultExposureRatio, DefaultExposureSlack
+	}
 }
 
 func orDefault(value, fallback uint32) uint32 {
--- a/policy/upgrade/gate_test.go
+++ b/policy/upgrade/gate_test.go
@@ -26,10 +26,10 @@
 	return g
 }
 
-// exposedAfter sends requests in one moment and returns how many went to the new version.
-func exposedAfter(g *upgrade.Gate, requests int, at time.Time) int {
+// exposedAt sends 100 requests in one moment and returns how many went to the new version.
+func exposedAt(g *upgrade.Gate, at time.Time) int {
 	n := 0
-	for range requests {
+	for range 100 {
 		r := oldR
 		if g.Choose(at, false, 1).New {
 			r = newR
@@ -44,14 +44,14 @@
 // trial may have ended without this node's knowledge.
 func TestGrantOfATrialExpires(t *testing.T) {
 	g := grantedGate(true)
-	qt.Assert(t, exposedAfter(g, 100, start.Add(900*time.Millisecond)) > 0, qt.IsTrue)
-	qt.Assert(t, exposedAfter(g, 100, start.Add(1100*time.Millisecond)), qt.Equals, 0)
+	qt.Assert(t, exposedAt(g, start.Add(900*time.Millisecond)) > 0, qt.IsTrue)
+	qt.Assert(t, exposedAt(g, start.Add(1100*time.Millisecond)), qt.Equals, 0)
 }
 
 // Guards against a fleet that spends the slack twice when its nodes restart during a trial.
 func TestNodeThatStartsDuringATrialHasNoSlack(t *testing.T) {
-	qt.Assert(t, exposedAfter(grantedGate(true), 100, start), qt.Equals, 49)
-	qt.Assert(t, exposedAfter(grantedGate(false), 100, start), qt.Equals, 8)
+	qt.Assert(t, exposedAt(grantedGate(true), start), qt.Equals, 49)
+	qt.Assert(t, exposedAt(grantedGate(false), start), qt.Equals, 8)
 }
 
 // Guards against an ordinary release whose replicas are not used, and against a version that
