Comments: figures and reasons that the wording of the code had deleted

Compared the comments before and after, the deciding packages first: those with a figure, a reason or a fault that today's text no longer has. Put back where they are still true: what a busy node hears, why pending attempts count, what restarts and calls to the store take, what connections, polls and uncompressed configurations cost, how far averages reach, and why the loss of an owner is not charged. No code changes.

--- a/node/backend/verify.go
+++ b/node/backend/verify.go
@@ -16,7 +16,8 @@
 
 // verifyAlive probes a connection before a non-idempotent request is written to it, unless
 // the connection is new or has received data within recentReadWindow. On a silent
-// connection the outcome would be unknown although the request never arrived. This can still
+// connection the outcome would be unknown although the request never arrived, and the caller
+// could not send it again. This can still
 // happen to a connection that goes silent within recentReadWindow. If verifyAlive returns
 // false, the connection has been released.
 func (p *pool) verifyAlive(ctx context.Context, cn *conn) bool {
--- a/node/owner/poll.go
+++ b/node/owner/poll.go
@@ -24,7 +24,7 @@
 	// maxWarmPollsPerSecond limits the rate of status polls of all warm replicas
 	// without traffic together. Without it, the polls of a node with many idle replicas
 	// would exceed the 4 KB/s that a node has for control messages; a poll writes 81
-	// bytes. The limit delays the detection of changes that only a poll detects. A
+	// bytes, so that 37 replicas polled each second take 3.0 KB/s. The limit delays the detection of changes that only a poll detects. A
 	// restart is detected at once by a lost connection or a reply.
 	maxWarmPollsPerSecond = 10
 )
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -104,7 +104,7 @@
 
 // Pull requests the configuration that a peer has in force. The response is compressed,
 // because uncompressed responses would use much of the 4 KB/s that a node has for control
-// messages.
+// messages: 920 configurations a day of 172 KB take 45% of it.
 func (c *Client) Pull(ctx context.Context, addr string, req *pb.PullConfigurationRequest) (*pb.PullConfigurationResponse, error) {
 	stub, err := c.pool.client(addr)
 	if err != nil {
--- a/node/peer/pool.go
+++ b/node/peer/pool.go
@@ -28,7 +28,8 @@
 	connectTimeout = time.Second
 	maxBackoff     = time.Second
 	// idleTimeout is the time after which an unused connection is closed. Without it, the
-	// nodes of a large fleet would hold memory for a connection to every other node. The
+	// nodes of a large fleet would hold memory for a connection to every other node: some
+	// 28 KB at the two ends of each, and a node of 750 has 749 peers. The
 	// timeout is longer than a round of pings over the ping set, so connections to members
 	// of the ping set stay open.
 	idleTimeout = time.Minute
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -25,12 +25,13 @@
 	defaultCallerTimeout = 30 * time.Second
 	// coordinatorWait is how long requests wait for a coordinator after the last answered
 	// heartbeat or the start of this node. It covers a heartbeat or the restart of a
-	// coordinator.
+	// coordinator, which reads the store within 100 ms.
 	coordinatorWait = 600 * time.Millisecond
 	// configurationWait bounds the wait for a configuration. A request waits for a first
 	// configuration until this long after the node began to follow the store, and for a
 	// newer configuration at most this long. Then the request is refused, so that its caller
-	// can retry on another node.
+	// can retry on another node. Reading the store takes four calls of 4 ms, and decoding it
+	// 20 ms on the smallest VM.
 	configurationWait = 400 * time.Millisecond
 	// localRetryAfter is the retry delay sent with a request that this node refuses.
 	localRetryAfter = 500 * time.Millisecond
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -21,7 +21,8 @@
 
 const (
 	// catchUpTimeout is how long a coordinator waits for the configuration version that the
-	// sender requires. The sender's offerTimeout includes this wait.
+	// sender requires. The sender's offerTimeout includes this wait. A call to the store
+	// takes 4 ms.
 	catchUpTimeout = 50 * time.Millisecond
 	// pollInterval is the time between two checks while a request waits for a configuration
 	// or a coordinator.
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -15,7 +15,8 @@
 	// minRetryAfter and maxRetryAfter bound the delay that a refused caller receives.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// refusalWeight is the weight of one query in the moving average of refusals.
+	// refusalWeight is the weight of one query in the moving average of refusals, which
+	// covers the last hundred queries or so.
 	refusalWeight = 0.02
 	// Pressure reaches 1 when 1/pressureGain of the queries is refused. It is 0 while
 	// the refused share is below pressureFloor.
--- a/policy/ownership/claims.go
+++ b/policy/ownership/claims.go
@@ -40,7 +40,7 @@
 
 // DefaultClaimParams returns the parameters for production use. After a crash of the
 // node that uses a cold replica, the replica stays unused until the grants to that
-// node have expired, for up to Lease + Margin + the maximum request time.
+// node have expired, for up to Lease + Margin + the maximum request time, about 4 s.
 func DefaultClaimParams() ClaimParams {
 	return ClaimParams{Lease: 2 * time.Second, Margin: time.Second, MaxGranters: 8}
 }
--- a/policy/query/retry.go
+++ b/policy/query/retry.go
@@ -69,7 +69,8 @@
 
 // freeRetry reports whether a retry is not charged to the retry budget. An attempt that has
 // not run costs the backend servers nothing. The loss of an owner fails all of its shards in
-// a query at once, which exceeds a budget for single failures. The extra load is bounded,
+// a query at once, which exceeds a budget for single failures: most of those shards would be
+// absent although their other replicas are well. The extra load is bounded,
 // because that owner receives no further attempts.
 func freeRetry(reason pb.Reason, evidence pb.Evidence) bool {
 	return evidence == pb.Evidence_EVIDENCE_NOT_RUN || reason == pb.Reason_REASON_PEER
--- a/policy/reach/reach.go
+++ b/policy/reach/reach.go
@@ -11,7 +11,8 @@
 const (
 	// unreachableAfter is the time without an answer from any replica of a data centre
 	// after which the data centre may count as unreachable. Single replicas pause for
-	// up to a sixth of a second, but not all replicas of a data centre at once.
+	// up to a sixth of a second, but not all replicas of a data centre at once. A node of
+	// a busy fleet hears from each data centre some fifty times a second.
 	unreachableAfter = 400 * time.Millisecond
 	// minAttempts is the number of unanswered attempts that are required as well, since
 	// an idle node receives no answers either. minSilentReplicas is the number of
@@ -90,7 +91,9 @@
 	}
 }
 
-// PendingAttempt is an attempt that has been in flight for longer than replicas pause.
+// PendingAttempt is an attempt that has been in flight for longer than replicas pause. After
+// a partition, such attempts occupy every connection and none ends for a second. Without
+// them, a node detects the partition after 1.5 s in place of 0.6 s.
 type PendingAttempt struct {
 	DataCentre, Replica string
 }
--- a/policy/routing/table.go
+++ b/policy/routing/table.go
@@ -30,7 +30,7 @@
 
 const (
 	// latencyWeight is the weight of one answer in the moving average of a busy
-	// replica.
+	// replica, which covers some ten answers.
 	latencyWeight = 0.1
 	// staleAfter is the idle time after which one answer has the same weight as all
 	// earlier answers.
