--- a/node/forward/forward_test.go
+++ b/node/forward/forward_test.go
@@ -168,3 +168,16 @@
 		}
 	})
 }
+
+// Guards against a refused hedge that ends the attempts of its shard: while most replicas
+// refuse a part of their requests, each pause of another one then delays an answer.
+func TestRefusedHedgeIsRetriedDuringAPause(t *testing.T) {
+	withHarness(t, map[string][]string{"s0": {"a", "b"}}, func(h *harness) {
+		f := h.node("a", nil)
+		h.replicas["s0-a"].set(func(r *replica) { r.latency = 300 * time.Millisecond })
+		h.replicas["s0-b"].set(func(r *replica) { r.refusals = 2 })
+		answer, took := h.serve(f, 0)
+		h.checkRecords(answer)
+		h.Assert(took < h.route.Objective, qt.IsTrue, qt.Commentf("took %v", took))
+	})
+}
