Upgrades: fewer bytes in the canary phase, renewals that a slow store answers

Reports leave out empty latency buckets, and the canary phase, which may last long, takes two grants a second in place of five: a report of 2 routes and 3 replicas is about 1.2 KB, by arithmetic 2.4 KB/s a node (8.4 before).

A renewal may take half of the lease of 1 s and the next begins a quarter after its start, so that a store that answers in 0.24 s does not end the lease.

--- a/node/relay/upgrades.go
+++ b/node/relay/upgrades.go
@@ -65,14 +65,27 @@
 			Phase: pb.UpgradePhase(s.Phase), Route: s.Route, Replica: s.Replica,
 			Answers: uint64(s.Answers), Failures: uint64(s.Failures),
 		}
-		for _, n := range s.Latencies {
-			sample.Latencies = append(sample.Latencies, uint32(n))
-		}
+		sample.FirstBucket, sample.Latencies = encodeLatencies(s.Latencies[:])
 		m.Samples = append(m.Samples, sample)
 	}
 	return m
 }
 
+// encodeLatencies returns the counts between the first and the last bucket that is not empty.
+func encodeLatencies(counts []int) (first uint32, encoded []uint32) {
+	from, to := 0, len(counts)
+	for from < to && counts[from] == 0 {
+		from++
+	}
+	for to > from && counts[to-1] == 0 {
+		to--
+	}
+	for _, n := range counts[from:to] {
+		encoded = append(encoded, uint32(n))
+	}
+	return uint32(from), encoded
+}
+
 // maxUpgradeSamples bounds the samples that are read from one report.
 const maxUpgradeSamples = 4096
 
@@ -94,8 +107,9 @@
 			Phase: upgrade.Phase(s.GetPhase()), Route: s.GetRoute(), Replica: s.GetReplica(),
 			Answers: count(s.GetAnswers()), Failures: count(s.GetFailures()),
 		}
-		for i, n := range s.GetLatencies()[:min(len(s.GetLatencies()), upgrade.Buckets)] {
-			sample.Latencies[i] = count(uint64(n))
+		first := min(int(s.GetFirstBucket()), upgrade.Buckets)
+		for i, n := range s.GetLatencies()[:min(len(s.GetLatencies()), upgrade.Buckets-first)] {
+			sample.Latencies[first+i] = count(uint64(n))
 		}
 		r.Samples = append(r.Samples, sample)
 	}
--- a/node/upgrader/leader.go
+++ b/node/upgrader/leader.go
@@ -64,11 +64,19 @@
 		started := time.Now()
 		l.round(ctx, members)
 		l.step(ctx, r, view, names(members))
-		interval := max(grantInterval, time.Duration(len(members))*time.Second/maxGrantsPerSecond)
-		work.Sleep(ctx, time.Until(started.Add(interval)))
+		work.Sleep(ctx, time.Until(started.Add(l.interval(len(members)))))
 	}
 }
 
+// interval returns the time between two grants to each of n nodes.
+func (l *leadership) interval(n int) time.Duration {
+	interval := grantInterval
+	if l.progress.Phase() <= upgrade.Canary {
+		interval = canaryGrantInterval
+	}
+	return max(interval, time.Duration(n)*time.Second/maxGrantsPerSecond)
+}
+
 func names(members []coordinator.Member) []string {
 	list := make([]string, 0, len(members))
 	for _, m := range members {
@@ -80,9 +88,8 @@
 // renew renews the lease until ctx ends.
 func (l *leadership) renew(ctx context.Context) {
 	for ctx.Err() == nil {
-		work.Sleep(ctx, renewInterval)
 		sent := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, renewInterval)
+		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
 		err := l.opts.Store.Renew(callCtx, l.lease)
 		cancel()
 		switch {
@@ -92,6 +99,7 @@
 			l.lost.Store(true)
 			return
 		}
+		work.Sleep(ctx, time.Until(sent.Add(renewInterval)))
 	}
 }
 
--- a/node/upgrader/upgrader.go
+++ b/node/upgrader/upgrader.go
@@ -20,13 +20,17 @@
 const (
 	// leaseTTL bounds the time until another node may lead after the leader was lost.
 	leaseTTL = 1000 * time.Millisecond
-	// renewInterval allows two lost renewals. The leader stops leaseMargin before the store
-	// may have ended the lease.
+	// renewInterval is the time between the starts of two renewals, and renewTimeout bounds
+	// one, also of a slow store. The leader stops leaseMargin before the store may have ended
+	// the lease.
 	renewInterval = leaseTTL / 4
+	renewTimeout  = leaseTTL / 2
 	leaseMargin   = 200 * time.Millisecond
-	// grantInterval is the time between two grants to a node, and grantTimeout bounds one.
-	grantInterval = 200 * time.Millisecond
-	grantTimeout  = 300 * time.Millisecond
+	// grantInterval is the time between two grants to a node, and canaryGrantInterval that
+	// in the canary phase, which may last long. grantTimeout bounds one.
+	grantInterval       = 200 * time.Millisecond
+	canaryGrantInterval = 500 * time.Millisecond
+	grantTimeout        = 300 * time.Millisecond
 	// maxGrantsPerSecond bounds the leader's work in a large fleet.
 	maxGrantsPerSecond = 1000
 	// claimDelay is the time by which a node claims later than the one before it in rank,
@@ -35,7 +39,7 @@
 	maxClaimDelay = 3 * time.Second
 	// silentAfter is how long a node waits for a grant before it looks for a new leader in
 	// the store. Only the first successors in rank do.
-	silentAfter = 700 * time.Millisecond
+	silentAfter = time.Second
 	successors  = 2
 	// resignPause is the time for which a node does not lead after it has resigned.
 	resignPause = 3 * time.Second
