Upgrades: no second claim or final write while the view is behind

A node claimed again, and a leader wrote the final status again, until its view showed what it had written: two calls to the store each for about a second.

--- a/node/upgrader/leader.go
+++ b/node/upgrader/leader.go
@@ -31,6 +31,8 @@
 	renewedAt atomic.Int64
 	lost      atomic.Bool
 	progress  *upgrade.Progress
+	// ended is set once the final status is written, which the view shows later.
+	ended bool
 }
 
 func (p *participant) newLeadership(r upgrade.Record) *leadership {
@@ -171,13 +173,15 @@
 	}
 }
 
-// end writes the final status. The view shows whether that has succeeded; until then each
-// step tries again.
+// end writes the final status, unless that has succeeded before.
 func (l *leadership) end(ctx context.Context, r upgrade.Record, final upgrade.State) {
-	if final == upgrade.RolledBack {
+	if final == upgrade.RolledBack && !l.ended {
 		// The nodes must not wait for the store to learn of the end of a bad version.
 		l.round(ctx, l.opts.Directory.Fleet().Members)
 	}
+	if l.ended {
+		return
+	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := l.opts.Store.EndUpgrade(callCtx, r, final)
@@ -186,5 +190,6 @@
 		l.log.WithError(err).WithField("state", final.String()).Info("status of the upgrade not written: trying again")
 		return
 	}
+	l.ended = true
 	l.opts.Event(decisionEnd, l.order.Service, final.String())
 }
--- a/node/upgrader/upgrader.go
+++ b/node/upgrader/upgrader.go
@@ -180,7 +180,8 @@
 	// leaderlessSince is when the store had no leader for the upgrade, and polledAt when this
 	// node last looked for one; zero for never.
 	leaderlessSince, polledAt time.Time
-	resignedAt                time.Time
+	// claimedAt is the time of the newest claim, and resignedAt that of the last resignation.
+	claimedAt, resignedAt time.Time
 	// lease is that of the newest claim. The claim may have succeeded although its call
 	// failed.
 	lease uint64
@@ -252,6 +253,11 @@
 	if now.Sub(p.leaderlessSince) < min(time.Duration(p.rank())*claimDelay, maxClaimDelay) {
 		return
 	}
+	if now.Sub(p.claimedAt) < leaseTTL {
+		// The view may not show the newest claim yet.
+		return
+	}
+	p.claimedAt = now
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, lease, err := p.opts.Store.LeadUpgrade(ctx, r, p.opts.Self.Node, leaseTTL)
