--- a/policy/gather/gather.go
+++ b/policy/gather/gather.go
@@ -118,13 +118,17 @@
 
 // ScheduleRetry schedules another attempt at a replica that refused, and reports whether one
 // is left. Without these retries, replicas that refuse every second request cause more lost
-// shards than MinCoverage allows. A refused hedge is retried too while the first attempt is
-// in flight: otherwise a pause of one replica and a refusal of another delay the answer.
+// shards than MinCoverage allows. While the first attempt is in flight, a refused hedge is
+// retried only if the request cannot succeed without the shard: otherwise a pause of one
+// replica and a refusal of another delay the answer.
 func (q *Query) ScheduleRetry(i int, now time.Duration) bool {
 	s := &q.shards[i]
 	if s.answered || s.exhausted || s.refusalRetries >= maxRefusalRetries {
 		return false
 	}
+	if s.inFlight > 0 && q.Dispensable(i) {
+		return false
+	}
 	s.retryAt = now + refusalBackoff<<s.refusalRetries
 	s.refusalRetries++
 	return true
--- a/policy/gather/gather_test.go
+++ b/policy/gather/gather_test.go
@@ -74,6 +74,18 @@
 	c.Assert(decision, qt.Equals, gather.Success)
 }
 
+// Guards against answers that wait for a paused replica after the hedge was refused, and
+// against retries that use up the budget for shards that may be absent.
+func TestRefusedHedgeIsRetriedOnlyForADecidingShard(t *testing.T) {
+	c := qt.New(t)
+	q := startedQuery(tenShards(), 2)
+	for _, shard := range []int{8, 9} {
+		q.Sent(shard, 30*ms)
+		q.Failed(shard, true)
+		c.Assert(q.ScheduleRetry(shard, 31*ms), qt.Equals, shard == 9)
+	}
+}
+
 // Nine shards of ten are sufficient: the first failed shard is dispensable, the second is
 // not.
 func TestShardIsDispensableWhileCoverageSuffices(t *testing.T) {
