--- /dev/null
+++ b/node/directory/upgrade_test.go
@@ -0,0 +1,46 @@
+package directory_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/carobmill/carobmill/node/directory"
+	"github.com/carobmill/carobmill/policy/upgrade"
+)
+
+func versionRecord(id, version string) directory.Record {
+	r := replicaRecord(id)
+	r.Replica.Version = version
+	return r
+}
+
+// Guards against a version that receives requests before its order is known, and against a
+// replica of an excluded version that stays in use until its registration expires.
+func TestVersionsAreHeldAndExcluded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newFakeStore()
+		s.put(configurationRecord(1))
+		s.put(versionRecord("r1", "v1"))
+		d := follow(t, s)
+		time.Sleep(time.Second)
+		s.put(versionRecord("r2", "v2"))
+		time.Sleep(2 * time.Second)
+		c.Assert(usableReplicas(d), qt.Equals, 1, qt.Commentf("a new version must be held"))
+		s.put(directory.Record{Area: directory.AreaUpgrades, Name: "timing", Upgrade: directory.UpgradeOrder, Order: &upgrade.Order{
+			Service: "timing", Version: "v2", Period: time.Minute, Revision: 4,
+		}})
+		time.Sleep(2 * time.Second)
+		c.Assert(usableReplicas(d), qt.Equals, 2)
+		c.Assert(d.View().Upgrades["timing"].Witnessed, qt.IsTrue)
+		s.put(directory.Record{Area: directory.AreaUpgrades, Name: "timing", Upgrade: directory.UpgradeStatus, Status: &upgrade.Status{
+			Service: "timing", Version: "v2", State: upgrade.Complete, Revision: 5,
+		}})
+		time.Sleep(2 * time.Second)
+		c.Assert(usableReplicas(d), qt.Equals, 1)
+		c.Assert(d.View().Replicas["timing"][0].ID, qt.Equals, "r2")
+	})
+}
--- a/policy/upgrade/gate_test.go
+++ b/policy/upgrade/gate_test.go
@@ -77,3 +77,18 @@
 	c.Assert(r.Excludes("v1"), qt.IsTrue)
 	c.Assert(r.Excludes("v2"), qt.IsFalse)
 }
+
+// Guards against an upgrade that never ends, or that moves all requests to fewer replicas
+// than can take them.
+func TestUpgradeWithoutEnoughReplicasIsRolledBackLate(t *testing.T) {
+	c := qt.New(t)
+	s := upgrade.Situation{Phase: upgrade.Load, Period: period, InPhase: period, Answers: 100, NewReplicas: 1, OldReplicas: 3}
+	for elapsed, want := range map[time.Duration]upgrade.Phase{period: upgrade.Load, 3 * period: upgrade.Revert} {
+		s.Elapsed = elapsed
+		next, _ := upgrade.Next(s)
+		c.Assert(next, qt.Equals, want)
+	}
+	s.NewReplicas, s.Elapsed = 2, period
+	next, _ := upgrade.Next(s)
+	c.Assert(next, qt.Equals, upgrade.Shift)
+}
