Upgrades: a trial follows replicas that are replaced meanwhile

The replicas on trial were chosen when a phase began. Had they been replaced, the new version received no requests on trial and was tested by none. TestTrialFollowsReplacedReplicas fails without the change.

--- a/node/forward/upgrade.go
+++ b/node/forward/upgrade.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"math"
 	"net/http"
 	"time"
@@ -24,10 +25,7 @@
 		}
 	}
 	f.mu.Lock()
-	services := make(map[string]*service, len(f.services))
-	for name, s := range f.services {
-		services[name] = s
-	}
+	services := maps.Clone(f.services)
 	f.mu.Unlock()
 	for name, s := range services {
 		u, ok := active[name]
--- a/node/upgrader/leader.go
+++ b/node/upgrader/leader.go
@@ -25,8 +25,8 @@
 type leadership struct {
 	*participant
 	term uint64
-	// renewedAt is when the lease was last renewed, in Unix nanoseconds of a monotonic
-	// difference to began.
+	// began is when the term began, and renewedAt when the lease was last renewed, in
+	// nanoseconds since then.
 	began     time.Time
 	renewedAt atomic.Int64
 	lost      atomic.Bool
--- a/policy/upgrade/gate.go
+++ b/policy/upgrade/gate.go
@@ -18,10 +18,10 @@
 }
 
 const (
-	// canaryPart, loadPart and confirmPart are the parts of the bound that a version may have received
-	// by the end of those phases. Most of it is for the load phase, which finds what the
-	// canary phase finds, and faults under load too. The remainder covers attempts that
-	// nodes do not count: those of nodes that restarted, and one of rounding at each node.
+	// canaryPart, loadPart and confirmPart are the parts of the bound that a version may
+	// have received by the end of those phases. Most of it is for the load phase, which finds
+	// what the canary phase finds, and faults under load too. The remainder covers attempts
+	// that nodes do not count: those of nodes that restarted, and one of rounding at each.
 	canaryPart  = 0.15
 	loadPart    = 0.82
 	confirmPart = 0.92
--- a/policy/upgrade/gate_test.go
+++ b/policy/upgrade/gate_test.go
@@ -92,3 +92,16 @@
 	next, _ := upgrade.Next(s)
 	c.Assert(next, qt.Equals, upgrade.Shift)
 }
+
+// Guards against a trial of replicas that are gone, which tests nothing.
+func TestTrialFollowsReplacedReplicas(t *testing.T) {
+	c := qt.New(t)
+	p := upgrade.NewProgress(start, order, 1)
+	p.Record(start, "a", upgrade.Report{Order: order.Revision}, true)
+	added := &registry.Replica{ID: "n2", Service: "s", Version: "v2"}
+	for _, usable := range []*registry.Replica{newR, newR, added} {
+		p.Step(start, []string{"a"}, upgrade.Replicas{New: []*registry.Replica{usable}, Old: []*registry.Replica{oldR}})
+	}
+	c.Assert(p.Phase(), qt.Equals, upgrade.Canary)
+	c.Assert(p.Grant().Trial, qt.DeepEquals, []string{"n2"})
+}
--- a/policy/upgrade/progress.go
+++ b/policy/upgrade/progress.go
@@ -100,10 +100,9 @@
 	s.Answers, s.LoadAnswers = answersIn(samples, p.phase), answersIn(samples, Load)
 	s.TrialRate = p.rate(now) * float64(len(p.trial)) / float64(max(len(replicas.New), 1))
 	next, reason := Next(s)
-	if next == p.phase && (p.trial != nil || next == Hold) {
-		return false, ""
+	if next != p.phase || !p.trialUsable(replicas.New) {
+		p.trial = p.trialFor(now, next, replicas.New, samples)
 	}
-	p.trial = p.trialFor(now, next, replicas.New, samples)
 	if next == p.phase {
 		return false, ""
 	}
@@ -111,6 +110,15 @@
 	return true, reason
 }
 
+// trialUsable reports whether all replicas on trial are usable, and whether there are any.
+func (p *Progress) trialUsable(replicas []*registry.Replica) bool {
+	usable := make(map[string]bool, len(replicas))
+	for _, r := range replicas {
+		usable[r.ID] = true
+	}
+	return len(p.trial) > 0 && !slices.ContainsFunc(p.trial, func(id string) bool { return !usable[id] })
+}
+
 // trialFor returns the replicas of a phase. The confirm phase uses none of the load phase.
 func (p *Progress) trialFor(now time.Time, phase Phase, replicas []*registry.Replica, samples []Sample) []string {
 	faults := faultRates(samples)
