Hold a new version until its order or until it is seen to be a release

A release that changes versions is told by the old replicas that leave as the new ones come, and the first of these ends the hold, so that it costs no capacity.

--- a/node/directory/upgrade.go
+++ b/node/directory/upgrade.go
@@ -89,9 +89,9 @@
 func (s *state) holdNewVersions(now time.Time, replicas map[string][]*registry.Replica, upgrades map[string]Upgrade) {
 	s.heldUntil = time.Time{}
 	for service, usable := range replicas {
-		versions := make([]string, 0, len(usable))
+		versions := make(map[string]int)
 		for _, r := range usable {
-			versions = append(versions, r.Version)
+			versions[r.Version]++
 		}
 		s.versions.Observe(now, service, versions)
 		end := s.versions.HeldUntil(now, service)
--- a/policy/upgrade/gate_test.go
+++ b/policy/upgrade/gate_test.go
@@ -59,11 +59,13 @@
 func TestVersionOfTheServiceIsHeldOnlyForAWhile(t *testing.T) {
 	c := qt.New(t)
 	v := upgrade.NewVersions()
-	v.Observe(start, "s", []string{"v1"})
+	v.Observe(start, "s", map[string]int{"v1": 3})
 	c.Assert(v.Held(start, "s", "v1"), qt.IsFalse)
-	v.Observe(start, "s", []string{"v1", "v2"})
+	v.Observe(start, "s", map[string]int{"v1": 3, "v2": 1})
 	c.Assert(v.Held(start.Add(upgrade.HoldTime-1), "s", "v2"), qt.IsTrue)
 	c.Assert(v.Held(start.Add(upgrade.HoldTime), "s", "v2"), qt.IsFalse)
+	v.Observe(start, "s", map[string]int{"v1": 2, "v2": 1})
+	c.Assert(v.Held(start, "s", "v2"), qt.IsFalse, qt.Commentf("the old replicas leave: it is a release"))
 }
 
 // Guards against a status of an earlier order that ends the next one.
