Upgrades: nodes that do not follow the store do not delay the end

After all nodes were killed, two small nodes relayed to coordinators again and had no view; their registrations counted for 25 s more, they answered that they did not know the order, and the leader waited for their confirmation.

A node without a view sends no attempts and answers as quiet.

--- a/node/upgrader/harness_test.go
+++ b/node/upgrader/harness_test.go
@@ -216,6 +216,7 @@
 	tasks sync.WaitGroup
 }
 
+// newFleet starts a fleet. One more node counts in it that does not follow the store.
 func newFleet(size int, bad bool) *fleet {
 	f := &fleet{store: &store{revision: 7, record: upgrade.Record{
 		Order: upgrade.Order{Service: "s", Version: "v2", Period: period, Revision: 5},
@@ -224,7 +225,7 @@
 	f.stop = stop
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	for i := range size {
+	for i := range size + 1 {
 		n := &node{name: "n" + strconv.Itoa(i), fleet: f}
 		n.Upgrader = upgrader.New(upgrader.Options{
 			Self: coordinator.Member{Node: n.name, Capacity: 1}, Directory: n, Store: f.store, Peers: n, Gates: n,
@@ -232,10 +233,13 @@
 		})
 		f.nodes = append(f.nodes, n)
 	}
-	for _, n := range f.nodes {
+	for i, n := range f.nodes {
 		nodeCtx, kill := context.WithCancel(ctx)
 		n.kill = kill
 		f.tasks.Go(func() { n.Run(nodeCtx) })
+		if i == size {
+			break
+		}
 		f.tasks.Go(func() { n.follow(nodeCtx) })
 		f.tasks.Go(func() { n.request(nodeCtx) })
 	}
--- a/node/upgrader/upgrader.go
+++ b/node/upgrader/upgrader.go
@@ -120,6 +120,11 @@
 // Grant applies a grant from another node's leader.
 func (u *Upgrader) Grant(g upgrade.Grant) (r upgrade.Report, known bool) {
 	r, known = u.opts.Gates.ApplyUpgrade(g)
+	if !known && u.opts.Directory.View() == nil {
+		// Without a view this node sends no attempts. It may still count in the fleet for a
+		// while, and must not delay the end of the upgrade.
+		return upgrade.Report{Order: g.Order, Term: g.Term, Phase: g.Phase}, true
+	}
 	if !known {
 		u.opts.Directory.PollNow()
 		return r, false
