Keep the revision of an upgrade's status or leader that cannot be read

A status that cannot be decoded counted as absent. The next write depends on its revision, so that every claim would have failed as a conflict and no node could have led the upgrade. The directory's test fails without the change.

--- a/node/directory/upgrade.go
+++ b/node/directory/upgrade.go
@@ -15,8 +15,8 @@
 	revisions map[UpgradeRecord]uint64
 }
 
-// applyUpgrade applies a record of AreaUpgrades. A record that cannot be decoded counts as
-// removed.
+// applyUpgrade applies a record of AreaUpgrades. Of a status or leader that cannot be decoded
+// the revision is kept: without it, no node could write the next one.
 func (s *state) applyUpgrade(r Record) bool {
 	u := s.upgrades[r.Name]
 	if u == nil {
@@ -36,8 +36,14 @@
 		u.current.Witnessed = s.revision != 0 && r.Revision > s.revision
 	case UpgradeStatus:
 		u.current.Status = valueOrZero(r.Status)
+		if !r.Removed {
+			u.current.Status.Revision = r.Revision
+		}
 	case UpgradeLeader:
 		u.current.Leader = valueOrZero(r.Leader)
+		if !r.Removed {
+			u.current.Leader.Term = r.Revision
+		}
 	}
 	return u.current != before
 }
--- a/node/directory/upgrade_test.go
+++ b/node/directory/upgrade_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,8 +37,12 @@
 		time.Sleep(2 * time.Second)
 		c.Assert(usableReplicas(d), qt.Equals, 2)
 		c.Assert(d.View().Upgrades["timing"].Witnessed, qt.IsTrue)
+		s.put(directory.Record{Area: directory.AreaUpgrades, Name: "timing", Upgrade: directory.UpgradeStatus, DecodeError: errors.New("unreadable")})
+		time.Sleep(2 * time.Second)
+		c.Assert(d.View().Upgrades["timing"].Status.Revision > 0, qt.IsTrue, qt.Commentf("the next status depends on this revision"))
+		c.Assert(d.View().Upgrades["timing"].Active(), qt.IsTrue)
 		s.put(directory.Record{Area: directory.AreaUpgrades, Name: "timing", Upgrade: directory.UpgradeStatus, Status: &upgrade.Status{
-			Service: "timing", Version: "v2", State: upgrade.Complete, Revision: 5,
+			Service: "timing", Version: "v2", State: upgrade.Complete,
 		}})
 		time.Sleep(2 * time.Second)
 		c.Assert(usableReplicas(d), qt.Equals, 1)
