Authenticate callers by the keys of client accounts

Cause: forwarding nodes did not read the accounts of a configuration.

The node that answers a request authenticates it before anything else and sends only the account's name on: in attempts, hedges, retries and batches. Relays carry the credentials in a field of their own to the coordinator. With strict_revocation a node refuses keyed requests (503, not run) when the store has not answered it within revocation_bound_ms.

--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -30,6 +30,8 @@
 	// Target is the request target as received, path and query.
 	Target string
 	Host   string
+	// Account is the name of the caller's account; empty without one.
+	Account string
 	// Header is shared between attempts and must not be modified.
 	Header http.Header
 	Body   []byte
@@ -79,9 +81,9 @@
 
 // Dialect maps request and reply metadata to the HTTP headers of a backend server.
 type Dialect interface {
-	// SetHeaders adds the ID of the intended replica and the remaining time of the
-	// request.
-	SetHeaders(h http.Header, replicaID string, left time.Duration)
+	// SetHeaders adds the ID of the intended replica, the caller's account and the remaining
+	// time of the request. An empty account adds none.
+	SetHeaders(h http.Header, replicaID, account string, left time.Duration)
 	// Metadata reads the metadata of a reply.
 	Metadata(resp *http.Response) ReplyMetadata
 }
@@ -359,7 +361,7 @@
 	req.Host = f.Host
 	req.Proto, req.ProtoMajor, req.ProtoMinor = "HTTP/1.1", 1, 1
 	req.Header = maps.Clone(f.Header)
-	dialect.SetHeaders(req.Header, f.Replica.Name, max(0, time.Until(f.Deadline)))
+	dialect.SetHeaders(req.Header, f.Replica.Name, f.Account, max(0, time.Until(f.Deadline)))
 	// GetBody stays unset, so that net/http cannot replay the request.
 	if len(f.Body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(f.Body))
--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/carobmill/carobmill/policy/account"
 	"github.com/carobmill/carobmill/policy/coordinator"
 	"github.com/carobmill/carobmill/policy/quarantine"
 )
@@ -23,6 +24,9 @@
 	RegisterAfter time.Duration
 	// UpdateBound is the time within which store updates must take effect; 0 for no bound.
 	UpdateBound time.Duration
+	// AnswerBound is the time within which the store must answer for this node's view to stay
+	// in use; 0 for no bound.
+	AnswerBound time.Duration
 	// Changed is called with each new view, one call at a time; may be nil.
 	Changed func(*View)
 	// Quarantined is called with each quarantined request that is read, before the view that
@@ -42,6 +46,8 @@
 	// while they succeed. A time.Time has a monotonic reading, so that changes of the VM's
 	// wall clock do not affect it.
 	unansweredSince atomic.Pointer[time.Time]
+	// lastAnswer is the time of the store's last answer; nil before the first one.
+	lastAnswer atomic.Pointer[time.Time]
 	// reliedOn is the time of the last MarkReliedOn; nil before the first one.
 	reliedOn atomic.Pointer[time.Time]
 	// pollNow is signalled to end the pause between two watches.
@@ -95,6 +101,14 @@
 	return since != nil && time.Since(*since) > staleAfter
 }
 
+// LastAnswer returns the time of the store's last answer; zero before the first one.
+func (d *Directory) LastAnswer() time.Time {
+	if at := d.lastAnswer.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // MarkReliedOn records that another node relies on this one for store updates. That node
 // may still reach the store when this one does not, so this one then has to detect the
 // loss of the store within UpdateBound.
@@ -199,12 +213,38 @@
 		d.opts.Log.WithFields(logrus.Fields{
 			"version": v.Index.Version, "revision": v.Revision,
 		}).Info("configuration in force")
+		d.logAccountChanges(previous, v)
 	}
 	if d.opts.Changed != nil {
 		d.opts.Changed(v)
 	}
 }
 
+// maxLoggedAccounts bounds the accounts of each kind of change in a log line.
+const maxLoggedAccounts = 10
+
+// logAccountChanges logs which accounts differ between two views. previous may be nil.
+func (d *Directory) logAccountChanges(previous, v *View) {
+	var before *account.Table
+	if previous != nil {
+		before = previous.Index.Accounts
+	}
+	changes := account.Compare(before, v.Index.Accounts)
+	if changes.Empty() {
+		return
+	}
+	fields := logrus.Fields{"version": v.Index.Version, "accounts": v.Index.Accounts.Len()}
+	for kind, names := range map[string][]string{
+		"added": changes.Added, "removed": changes.Removed, "keys": changes.Keys, "limits": changes.Limits,
+	} {
+		if len(names) > 0 {
+			fields[kind] = names[:min(len(names), maxLoggedAccounts)]
+			fields[kind+"_count"] = len(names)
+		}
+	}
+	d.opts.Log.WithFields(fields).Info("accounts changed")
+}
+
 // updateFleet recomputes which nodes share the fleet's budgets.
 func (d *Directory) updateFleet(now time.Time) {
 	next := d.state.nodes.Fleet(now)
--- a/node/directory/watch.go
+++ b/node/directory/watch.go
@@ -79,6 +79,9 @@
 	if relied && d.opts.UpdateBound > 0 {
 		wait = min(wait, d.opts.UpdateBound-staleReactionTime)
 	}
+	if d.opts.AnswerBound > 0 {
+		wait = min(wait, d.opts.AnswerBound-staleReactionTime)
+	}
 	wait = max(wait-time.Since(d.lastSuccess), minWatchWait)
 	if next := d.state.replicas.NextExpiry(); !next.IsZero() {
 		wait = min(wait, max(time.Until(next), minWatchWait))
@@ -115,6 +118,7 @@
 	d.failing = false
 	d.unansweredSince.Store(nil)
 	d.lastSuccess = now
+	d.lastAnswer.Store(&now)
 	d.backoff = minBackoff
 }
 
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -189,6 +189,7 @@
 		Method:    req.Method,
 		Target:    req.Target,
 		Host:      req.Host,
+		Account:   req.Account,
 		Header:    req.Header,
 		Body:      req.Body,
 		Deadline:  deadline,
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -32,9 +32,14 @@
 	Target string
 	Path   string
 	Host   string
-	// Header holds the end-to-end headers. It is not modified.
+	// Header holds the end-to-end headers without the Authorization header. It is not
+	// modified.
 	Header http.Header
-	Body   []byte
+	// Credentials holds the values of the Authorization header until the request is
+	// authenticated. Account is then the name of its account; empty without one.
+	Credentials []string
+	Account     string
+	Body        []byte
 	// Arrived is when the request's first bytes were read. CallerTimeout is how long the
 	// caller waits from then on; 0 when the caller did not state it.
 	Arrived       time.Time
@@ -62,17 +67,23 @@
 	Failed
 	// Late: the deadline has passed; the request may have run.
 	Late
+	// Unauthenticated: the request has no valid key, and its route requires one.
+	Unauthenticated
+	// OverCap: the usage cap of the request's account is used up. No replica has run the
+	// request or will run it.
+	OverCap
 )
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"passed", "merged", "no_route", "not_run", "failed", "late"}[o]
+	return [...]string{"passed", "merged", "no_route", "not_run", "failed", "late", "unauthenticated", "over_cap"}[o]
 }
 
 // Answer is the result of a request.
 type Answer struct {
 	Outcome Outcome
-	// Status, Header and Body of a passed answer; Status and Body of a merged one.
+	// Status, Header and Body of a passed answer; Status and Body of a merged one. The Body of
+	// an unauthenticated request states the reason.
 	Status int
 	Header http.Header
 	Body   []byte
@@ -94,6 +105,8 @@
 	// FleetSize is the size of the fleet that shares the budgets and the replicas'
 	// connections, in units of this node's capacity.
 	FleetSize() float64
+	// LastAnswer is the time of the store's last answer to this node.
+	LastAnswer() time.Time
 }
 
 // Options of a Forwarder.
@@ -110,7 +123,10 @@
 	RetryBudget retrybudget.Bound
 	// Exposure bounds the requests of the whole fleet to a version on trial.
 	Exposure upgrade.Bound
-	Log      logrus.FieldLogger
+	// RevocationBound is the time after which a node without an answer of the store refuses
+	// requests that need a key; 0 if the last view stays in use.
+	RevocationBound time.Duration
+	Log             logrus.FieldLogger
 	// Record is called with each completed request that matched a route; may be nil.
 	Record func(r *route.Route, a *Answer, took time.Duration)
 	// Event receives decisions about requests that crash replicas; may be nil.
@@ -276,8 +292,14 @@
 		}).Debug("no route")
 		return Answer{Outcome: NoRoute, Version: view.Index.Version}
 	}
-	c := f.class(r)
-	q := newExchange(f, view, r, c, req)
+	if f.keysOutdated(view.Index, r) {
+		return f.refuse(req, "the keys of the configuration may be outdated", startRetryAfter)
+	}
+	authenticated, _, fault := authenticate(view.Index, r, req)
+	if fault != "" {
+		return f.rejectUnauthenticated(req, r, view.Index.Version, fault)
+	}
+	q := newExchange(f, view, r, f.class(r), authenticated)
 	a := q.serve(ctx)
 	a.Version = view.Index.Version
 	a.Due = q.dueAt()
--- a/node/forward/harness_test.go
+++ b/node/forward/harness_test.go
@@ -32,12 +32,16 @@
 	headerID        = "Request-Id"
 	headerSignature = "Signature"
 	headerNotRun    = "Not-Run"
+	headerAccount   = "Account"
 )
 
 // dialect is the dialect of the stand-in replicas.
 type dialect struct{}
 
-func (dialect) SetHeaders(h http.Header, replicaID string, left time.Duration) {
+func (dialect) SetHeaders(h http.Header, replicaID, account string, left time.Duration) {
+	if account != "" {
+		h[headerAccount] = []string{account}
+	}
 	h["Replica"] = []string{replicaID}
 	h["Timeout"] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 }
@@ -55,6 +59,7 @@
 
 func (s source) View() *directory.View { return s.view }
 func (source) FleetSize() float64      { return 1 }
+func (source) LastAnswer() time.Time   { return time.Now() }
 
 // replica is a stand-in for one backend server. Its part holds one record with its ID.
 type replica struct {
--- a/node/forward/quarantine.go
+++ b/node/forward/quarantine.go
@@ -25,9 +25,6 @@
 	decisionCleared     = "request_cleared"
 )
 
-// headerCredential identifies the caller of a request.
-const headerCredential = "Authorization"
-
 // content identifies requests with the same content from the same caller.
 type content struct {
 	// requestID is that of the caller's attempt, for messages.
@@ -42,12 +39,21 @@
 	return &content{
 		requestID: r.ID,
 		fingerprint: sync.OnceValue(func() quarantine.Fingerprint {
-			return quarantine.NewFingerprint(r.Method, r.Host, r.Target, r.Header.Get(headerCredential), r.Body)
+			return quarantine.NewFingerprint(r.Method, r.Host, r.Target, r.caller(), r.Body)
 		}),
 		services: func() map[string]bool { return f.servicesOf(r) },
 	}
 }
 
+// caller identifies the caller of a request: its account, or its credentials if the
+// configuration has no accounts.
+func (r *Request) caller() string {
+	if r.Account != "" {
+		return r.Account
+	}
+	return r.Header.Get(headerAuthorization)
+}
+
 // servicesOf returns the services of a request's route.
 func (f *Forwarder) servicesOf(r *Request) map[string]bool {
 	services := make(map[string]bool)
--- a/node/forward/requestlog.go
+++ b/node/forward/requestlog.go
@@ -128,6 +128,7 @@
 		"target":   q.req.Target,
 		"content":  q.content.fingerprint().String(),
 		"route":    q.route.Name,
+		"account":  q.req.Account,
 		"version":  q.view.Index.Version,
 		"revision": q.view.Revision,
 		"view_ms":  time.Since(q.view.At).Milliseconds(),
--- a/node/forward/simulation/fleet.go
+++ b/node/forward/simulation/fleet.go
@@ -109,6 +109,9 @@
 // FleetSize implements forward.Source.
 func (f *Fleet) FleetSize() float64 { return float64(len(dataCentres)) }
 
+// LastAnswer implements forward.Source.
+func (f *Fleet) LastAnswer() time.Time { return time.Now() }
+
 // publish passes the running replicas to the nodes.
 func (f *Fleet) publish() {
 	f.mu.Lock()
--- a/node/forward/simulation/replica.go
+++ b/node/forward/simulation/replica.go
@@ -22,7 +22,7 @@
 // dialect implements backend.Dialect.
 type dialect struct{}
 
-func (dialect) SetHeaders(http.Header, string, time.Duration) {}
+func (dialect) SetHeaders(http.Header, string, string, time.Duration) {}
 
 func (dialect) Metadata(resp *http.Response) backend.ReplyMetadata {
 	return backend.ReplyMetadata{RequestID: resp.Header.Get(headerID), Signature: resp.Header.Get(headerSignature)}
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -87,6 +87,7 @@
 		Node:        self,
 		Log:         g.log,
 		UpdateBound: time.Duration(g.settings.GetForwarding().GetNewsBoundMs()) * time.Millisecond,
+		AnswerBound: revocationBound(g.settings.GetForwarding()),
 		Changed:     g.updateView,
 		Quarantined: func(f quarantine.Fingerprint) { g.forwarder.Refuse(f) },
 	}
@@ -123,6 +124,7 @@
 			Slack:    forwarding.GetExposureSlack(),
 			GrantTTL: min(maxGrantTTL, time.Duration(forwarding.GetRollbackBoundMs())*time.Millisecond/3),
 		},
+		RevocationBound: revocationBound(forwarding),
 		Log:             g.log,
 		Record:          g.record,
 		Event:           g.recordEvent,
@@ -137,6 +139,14 @@
 	})
 }
 
+// revocationBound returns the time after which keys count as outdated; 0 for never.
+func revocationBound(f *pb.Forwarding) time.Duration {
+	if !f.GetStrictRevocation() {
+		return 0
+	}
+	return time.Duration(f.GetRevocationBoundMs()) * time.Millisecond
+}
+
 // buildUpgrader builds the upgrader, which moves services to other versions.
 func (g *Gateway) buildUpgrader(self coordinator.Member, store directory.Store) {
 	g.metrics.AddGaugeSource(g.reportUpgrades)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -140,7 +140,7 @@
 			q.Outcome = telemetry.OutcomePartial
 			q.Coverage = float64(len(a.Signatures)) / float64(len(a.Signatures)+a.Missing)
 		}
-	case forward.NotRun, forward.NoRoute:
+	case forward.NotRun, forward.NoRoute, forward.Unauthenticated, forward.OverCap:
 		q.Outcome = telemetry.OutcomeRefused
 	default:
 		q.Outcome = telemetry.OutcomeUnknown
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -117,7 +117,7 @@
 	if message, err := stream.Recv(); err != nil || !message.GetBegin() {
 		return err
 	}
-	answer := s.opts.Local.Serve(stream.Context(), decodeRequest(m, now))
+	answer := s.opts.Local.Serve(stream.Context(), decodeRelayRequest(m, now))
 	if answer.Outcome == forward.NotRun && s.opts.Local.Isolated() {
 		return stream.Send(refusalResponse(pb.RelayRefusal_RELAY_REFUSAL_ISOLATED))
 	}
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -20,6 +20,7 @@
 	m := encodeRequest(req)
 	m.LeastVersion = minVersion
 	m.ReserveUs = microseconds(reserve)
+	m.Credentials = encodeStrings(req.Credentials)
 	return &pb.RelayMessage{Event: &pb.RelayMessage_Request{Request: m}}
 }
 
@@ -31,11 +32,22 @@
 		Host:       []byte(req.Host),
 		Headers:    encodeHeader(req.Header),
 		Body:       req.Body,
+		Account:    req.Account,
 		ElapsedUs:  microseconds(time.Since(req.Arrived)),
 		PatienceUs: microseconds(req.CallerTimeout),
 	}
 }
 
+// decodeRelayRequest decodes a caller's request. Earlier releases send its credentials with
+// the other headers.
+func decodeRelayRequest(m *pb.RelayRequest, now time.Time) *forward.Request {
+	req := decodeRequest(m, now)
+	if credentials := forward.TakeCredentials(req.Header); len(req.Credentials) == 0 {
+		req.Credentials = credentials
+	}
+	return req
+}
+
 // beginMessage returns the message that confirms an offer.
 func beginMessage() *pb.RelayMessage {
 	return &pb.RelayMessage{Event: &pb.RelayMessage_Begin{Begin: true}}
@@ -53,6 +65,8 @@
 		Host:           string(m.GetHost()),
 		Header:         decodeHeader(m.GetHeaders()),
 		Body:           m.GetBody(),
+		Credentials:    decodeStrings(m.GetCredentials()),
+		Account:        m.GetAccount(),
 		Arrived:        now.Add(-duration(m.GetElapsedUs())),
 		CallerTimeout:  duration(m.GetPatienceUs()),
 		TransitReserve: duration(m.GetReserveUs()),
@@ -67,6 +81,9 @@
 	forward.NotRun:  pb.RelayOutcome_RELAY_OUTCOME_NOT_RUN,
 	forward.Failed:  pb.RelayOutcome_RELAY_OUTCOME_FAILED,
 	forward.Late:    pb.RelayOutcome_RELAY_OUTCOME_LATE,
+
+	forward.Unauthenticated: pb.RelayOutcome_RELAY_OUTCOME_UNAUTHENTICATED,
+	forward.OverCap:         pb.RelayOutcome_RELAY_OUTCOME_OVER_CAP,
 }
 
 // decodeOutcome decodes an outcome. An unknown value is a failure, after which the request
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -38,6 +38,9 @@
 	DefaultCapacity        = 1
 	DefaultNewsBoundMs     = 5000
 	DefaultRollbackBoundMs = 5000
+
+	DefaultQuotaWindowS      = 5
+	DefaultRevocationBoundMs = 5000
 	// DefaultExposureRatio and DefaultExposureSlack apply together. Without any exposure, a
 	// version would be used untested.
 	DefaultExposureRatio = 0.05
@@ -129,6 +132,10 @@
 	}
 	f.NewsBoundMs = orDefault(f.NewsBoundMs, DefaultNewsBoundMs)
 	f.RollbackBoundMs = orDefault(f.RollbackBoundMs, DefaultRollbackBoundMs)
+	f.RevocationBoundMs = orDefault(f.RevocationBoundMs, DefaultRevocationBoundMs)
+	if f.QuotaWindowS == 0 {
+		f.QuotaWindowS = DefaultQuotaWindowS
+	}
 	if f.ExposureRatio == 0 && f.ExposureSlack == 0 {
 		f.ExposureRatio, f.ExposureSlack = DefaultExposureRatio, DefaultExposureSlack
 	}
--- a/policy/route/route.go
+++ b/policy/route/route.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/carobmill/carobmill/policy/account"
 )
 
 // Configuration is one accepted version of all settings of the operators.
@@ -17,6 +19,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Accounts holds the client accounts; nil if callers need no key.
+	Accounts *account.Table
 }
 
 // Route describes how requests for one host and path prefix are answered.
@@ -43,6 +47,8 @@
 	Objective time.Duration
 	// Priority 0 is the most urgent.
 	Priority int
+	// Public is set if callers need no key.
+	Public bool
 	// TopRecords is the number of greatest records in a merged answer.
 	TopRecords int
 	// MinCoverage is the minimum share of shards, from 0 to 1, for a successful
@@ -84,8 +90,10 @@
 
 // Index is a compiled, immutable configuration.
 type Index struct {
-	Version  uint64
-	Limits   Limits
+	Version uint64
+	Limits  Limits
+	// Accounts is nil if callers need no key.
+	Accounts *account.Table
 	hosts    map[string][]*Route
 	names    map[string]bool
 	services map[string]*Service
@@ -96,6 +104,7 @@
 	x := &Index{
 		Version:  c.Version,
 		Limits:   c.Limits,
+		Accounts: c.Accounts,
 		hosts:    make(map[string][]*Route),
 		names:    make(map[string]bool, len(c.Routes)),
 		services: make(map[string]*Service, len(c.Services)),
