Keep the usage caps of client accounts over the fleet

Cause: no node knew a usage cap; a hot account could send any number of requests to replicas.

Change: every node has a part of each cap by its share of the fleet's capacity. A node holds a small reserve and may admit a few requests in advance, both out of the tolerance that operators state, so that most requests wait for nothing. A lost manager is followed by the next in rank, at last by each node for itself with its own part. A refused caller gets 429 and the time at which allowance is there, one caller after the other. Requests that did not run give their allowance back. Status, metrics (100 accounts and a rest) and a log line for each refusal name the account.

--- a/cmd/carobmillctl/ctl_test.go
+++ b/cmd/carobmillctl/ctl_test.go
@@ -216,3 +216,23 @@
 	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", stderr))
 	c.Assert(stdout, qt.Matches, `(?s).*desk +v2 +running +a +canary on 2 +150 +13\n.*`)
 }
+
+// Guards against an account that is refused without operators seeing its cap, its requests
+// over all nodes and the nodes that refuse it.
+func TestStatusListsAccounts(t *testing.T) {
+	c := qt.New(t)
+	address := startNode(c, func() []*pb.NodeStatus {
+		return []*pb.NodeStatus{
+			{Node: "a", Accounts: []*pb.AccountStatus{
+				{Account: "desk", Rate: 10, Burst: 20, Demand: 8, Admitted: 100, Refused: 7, Exhausted: true},
+			}},
+			{Node: "b", Accounts: []*pb.AccountStatus{
+				{Account: "desk", Rate: 10, Burst: 20, Demand: 4, Admitted: 50},
+				{Account: "portal", Rate: 5, Burst: 5, Demand: 30, Admitted: 9},
+			}},
+		}
+	})
+	code, stdout, stderr := runTool("status", "-node", address)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", stderr))
+	c.Assert(stdout, qt.Matches, `(?s).*portal +5/s and 5 +30.0 +9 +0 +1 +0\ndesk +10/s and 20 +12.0 +150 +7 +2 +1\n.*`)
+}
--- a/cmd/carobmillctl/status.go
+++ b/cmd/carobmillctl/status.go
@@ -132,6 +132,7 @@
 	inv.printMembers(list)
 	inv.printReplicas(list, all)
 	inv.printUpgrades(list)
+	inv.printAccounts(list)
 }
 
 // printVersions prints the versions in force with the number of nodes that have each.
--- a/node/forward/authenticate.go
+++ b/node/forward/authenticate.go
@@ -57,7 +57,7 @@
 			"request": req.ID, "route": r.Name, "version": version, "outcome": Unauthenticated.String(), "reason": string(fault),
 		}).Info("request without a valid key")
 	}
-	return Answer{Outcome: Unauthenticated, Body: []byte(fault + "\n"), Version: version}
+	return Answer{Outcome: Unauthenticated, Body: []byte(fault + "\n")}
 }
 
 // keysOutdated reports whether this node may have missed the removal of a key for longer than
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -17,6 +17,7 @@
 	"github.com/carobmill/carobmill/node/backend"
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/telemetry"
+	"github.com/carobmill/carobmill/policy/account"
 	"github.com/carobmill/carobmill/policy/registry"
 	"github.com/carobmill/carobmill/policy/retrybudget"
 	"github.com/carobmill/carobmill/policy/route"
@@ -127,8 +128,11 @@
 	// requests that need a key; 0 if the last view stays in use.
 	RevocationBound time.Duration
 	Log             logrus.FieldLogger
-	// Record is called with each completed request that matched a route; may be nil.
-	Record func(r *route.Route, a *Answer, took time.Duration)
+	// Quota limits the requests of accounts to their usage caps; may be nil.
+	Quota Quota
+	// Record is called with each request that matched a route and the name of its account,
+	// empty without one; may be nil.
+	Record func(r *route.Route, account string, a *Answer, took time.Duration)
 	// Event receives decisions about requests that crash replicas; may be nil.
 	Event func(kind, subject, detail string)
 	// SuspectsChanged is called when SuspectChanges or Quarantined have new results; may be
@@ -295,16 +299,31 @@
 	if f.keysOutdated(view.Index, r) {
 		return f.refuse(req, "the keys of the configuration may be outdated", startRetryAfter)
 	}
-	authenticated, _, fault := authenticate(view.Index, r, req)
+	authenticated, holder, fault := authenticate(view.Index, r, req)
+	var a Answer
 	if fault != "" {
-		return f.rejectUnauthenticated(req, r, view.Index.Version, fault)
+		a = f.rejectUnauthenticated(req, r, view.Index.Version, fault)
+	} else {
+		a = f.serveAccount(ctx, view, r, authenticated, holder)
 	}
-	q := newExchange(f, view, r, f.class(r), authenticated)
-	a := q.serve(ctx)
 	a.Version = view.Index.Version
-	a.Due = q.dueAt()
 	if f.opts.Record != nil {
-		f.opts.Record(r, &a, time.Since(req.Arrived))
+		f.opts.Record(r, authenticated.Account, &a, time.Since(req.Arrived))
+	}
+	return a
+}
+
+// serveAccount answers an authenticated request within the usage cap of its account, which is
+// nil for a request without one.
+func (f *Forwarder) serveAccount(ctx context.Context, view *directory.View, r *route.Route, req *Request, holder *account.Account) Answer {
+	if refusal, ok := f.admit(ctx, req, holder); !ok {
+		return refusal
+	}
+	q := newExchange(f, view, r, f.class(r), req)
+	a := q.serve(ctx)
+	a.Due = q.dueAt()
+	if a.Outcome == NotRun && holder != nil && f.opts.Quota != nil {
+		f.opts.Quota.Return(holder.Name)
 	}
 	return a
 }
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -13,12 +13,15 @@
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/forward"
 	"github.com/carobmill/carobmill/node/peer"
+	"github.com/carobmill/carobmill/node/quota"
 	"github.com/carobmill/carobmill/node/relay"
 	"github.com/carobmill/carobmill/node/ring"
 	"github.com/carobmill/carobmill/node/telemetry"
 	"github.com/carobmill/carobmill/node/upgrader"
+	"github.com/carobmill/carobmill/policy/account"
 	"github.com/carobmill/carobmill/policy/coordinator"
 	"github.com/carobmill/carobmill/policy/quarantine"
+	policyquota "github.com/carobmill/carobmill/policy/quota"
 	"github.com/carobmill/carobmill/policy/retrybudget"
 	"github.com/carobmill/carobmill/policy/upgrade"
 )
@@ -73,6 +76,7 @@
 		Capacity:   settings.GetForwarding().GetCapacity(),
 	}
 	g.buildDirectory(self, adapter.Store())
+	g.buildQuota(self)
 	g.buildForwarder(self, adapter.Dialect())
 	g.buildUpgrader(self, adapter.Store())
 	g.buildRelay(self, credentials)
@@ -97,6 +101,32 @@
 	g.directory = directory.New(o)
 }
 
+// buildQuota builds the usage caps of accounts.
+func (g *Gateway) buildQuota(self coordinator.Member) {
+	forwarding := g.settings.GetForwarding()
+	g.metrics.AddGaugeSource(g.reportAccounts)
+	g.quota = quota.New(quota.Options{
+		Self: self,
+		Bound: policyquota.Bound{
+			Window: seconds(forwarding.GetQuotaWindowS()),
+			Ratio:  forwarding.GetQuotaRatio(),
+			Slack:  forwarding.GetQuotaSlack(),
+		},
+		Peers: relay.NewQuotaClient(g.peers),
+		Fleet: g.directory.Fleet,
+		Accounts: func() (*account.Table, uint64) {
+			v := g.directory.View()
+			if v == nil {
+				return nil, 0
+			}
+			return v.Index.Accounts, v.Index.Version
+		},
+		Available: func() bool { return g.directory.Synced() && !g.stopping.Load() },
+		Log:       g.log,
+		Event:     g.recordEvent,
+	})
+}
+
 // buildForwarder builds the forwarder, which sends requests from this node to the shards.
 func (g *Gateway) buildForwarder(self coordinator.Member, dialect backend.Dialect) {
 	g.backends = backend.New(backend.Options{
@@ -125,6 +155,7 @@
 			GrantTTL: min(maxGrantTTL, time.Duration(forwarding.GetRollbackBoundMs())*time.Millisecond/3),
 		},
 		RevocationBound: revocationBound(forwarding),
+		Quota:           g.quota,
 		Log:             g.log,
 		Record:          g.record,
 		Event:           g.recordEvent,
@@ -180,6 +211,7 @@
 		Directory: g.directory,
 		Local:     g.forwarder,
 		Upgrades:  g.upgrader,
+		Quota:     g.quota,
 		Leaving:   g.stopping.Load,
 	}, credentials.Server)
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/forward"
 	"github.com/carobmill/carobmill/node/peer"
+	"github.com/carobmill/carobmill/node/quota"
 	"github.com/carobmill/carobmill/node/relay"
 	"github.com/carobmill/carobmill/node/ring"
 	"github.com/carobmill/carobmill/node/telemetry"
@@ -60,6 +61,7 @@
 	relay     *relay.Relay
 	suspects  *relay.SuspectSync
 	upgrader  *upgrader.Upgrader
+	quota     *quota.Quota
 	peers     *peer.Pool
 
 	callerServer *http.Server
@@ -117,7 +119,10 @@
 
 // record counts a request that was answered by this node, for its own caller or for a node
 // that relayed the request.
-func (g *Gateway) record(r *route.Route, a *forward.Answer, took time.Duration) {
+func (g *Gateway) record(r *route.Route, account string, a *forward.Answer, took time.Duration) {
+	if account != "" {
+		g.metrics.AccountRequest(account, a.Outcome.String())
+	}
 	g.countQuery(telemetry.Query{Service: r.Name, Class: r.Name, Latency: took, OnTime: took <= r.Objective}, a)
 }
 
@@ -234,6 +239,7 @@
 		MembersAlive:  uint32(len(g.directory.Fleet().Members)),
 		Upgrades:      g.upgradeStatus(),
 	}
+	status.Accounts, status.QuotaManager = g.accountStatus()
 	if v := g.directory.View(); v != nil {
 		status.ConfigVersion = v.Index.Version
 	}
@@ -280,6 +286,7 @@
 	tasks.Go(func() { g.relay.Run(background) })
 	tasks.Go(func() { g.suspects.Run(background) })
 	tasks.Go(func() { g.upgrader.Run(background) })
+	tasks.Go(func() { g.quota.Run(background) })
 	tasks.Go(func() { g.storeQuarantined(background) })
 	listenerErrs := make(chan error, 3)
 	go func() { listenerErrs <- g.adminServer.Serve(listeners.Operators) }()
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -64,6 +64,8 @@
 	Local     LocalForwarder
 	// Upgrades applies the grants of other nodes that lead upgrades; may be nil.
 	Upgrades UpgradeGrants
+	// Quota answers the reports of usage caps; may be nil.
+	Quota QuotaManager
 	// Leaving reports whether the node is shutting down. It still accepts requests, but
 	// reports itself as unavailable to senders.
 	Leaving func() bool
--- a/node/telemetry/metrics.go
+++ b/node/telemetry/metrics.go
@@ -78,6 +78,7 @@
 	classes sync.Map
 	// counters holds a tally.Counter for each counterKey.
 	counters sync.Map
+	accounts accountCounters
 
 	// mu guards sources.
 	mu      sync.Mutex
@@ -101,6 +102,8 @@
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	m := &Metrics{scope: scope, closer: closer, stop: make(chan struct{})}
+	m.accounts.counters = make(map[accountKey]tally.Counter)
+	m.accounts.labels = make(map[string]bool)
 	go m.reportGauges()
 	return m, reporter.HTTPHandler()
 }
--- a/node/telemetry/telemetry_test.go
+++ b/node/telemetry/telemetry_test.go
@@ -1,6 +1,7 @@
 package telemetry_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -74,3 +75,17 @@
 	_, err = telemetry.NewLog("loud", "json")
 	c.Assert(err, qt.ErrorMatches, "log level: .*")
 }
+
+// Guards against a metric that grows with the number of accounts.
+func TestAccountLabelsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	m, handler := telemetry.New()
+	for i := range 1000 {
+		m.AccountRequest(fmt.Sprintf("a%d", i), "passed")
+	}
+	m.Close()
+	text := scrape(handler)
+	c.Assert(text, qt.Contains, `carobmill_account_requests_total{account="a0",outcome="passed"} 1`)
+	c.Assert(text, qt.Contains, `carobmill_account_requests_total{account="_others_",outcome="passed"} 900`)
+	c.Assert(strings.Count(text, "carobmill_account_requests_total{"), qt.Equals, 101)
+}
--- /dev/null
+++ b/policy/quota/limiter.go
@@ -0,0 +1,369 @@
+package quota
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/carobmill/carobmill/policy/account"
+	"github.com/carobmill/carobmill/policy/coordinator"
+)
+
+const (
+	// reportInterval is the time between two reports without urgent demand.
+	reportInterval = 200 * time.Millisecond
+	// urgentInterval is the least time between two reports.
+	urgentInterval = 10 * time.Millisecond
+	// ReportTimeout bounds the wait for the reply to a report.
+	ReportTimeout = 200 * time.Millisecond
+	// reserveTime is the time for which the reserve of an account lasts.
+	reserveTime = 400 * time.Millisecond
+	// minReserve is the least reserve of an account with requests.
+	minReserve = 1.0
+	// inactiveAfter is the time without a request after which an account has no reserve.
+	inactiveAfter = 5 * time.Second
+	// minExhausted is the least time for which an account counts as exhausted after it was
+	// not granted what was due. It bounds the reports about accounts over their caps.
+	minExhausted = 50 * time.Millisecond
+	// maxRetryAfter bounds the delay that a refused caller gets.
+	maxRetryAfter = 5 * time.Second
+	// rateWeight is the EWMA weight of a new sample of a rate.
+	rateWeight = 0.2
+	// minProbeBackoff and maxProbeBackoff bound the time before a failed manager is probed.
+	minProbeBackoff = 500 * time.Millisecond
+	maxProbeBackoff = 4 * time.Second
+)
+
+// Decision is what becomes of a request.
+type Decision int
+
+// Decisions.
+const (
+	// Admit: the request has allowance.
+	Admit Decision = iota
+	// Wait: the request may have allowance after the next reply.
+	Wait
+	// Refuse: the cap is used up.
+	Refuse
+)
+
+// Verdict is the decision about one request.
+type Verdict struct {
+	Decision Decision
+	// RetryAfter is the time after which a refused caller may have allowance.
+	RetryAfter time.Duration
+	// Allowance is what the node held before the request, negative if it had admitted
+	// requests in advance. RepliedAt is the time of the manager's last reply; zero before it.
+	Allowance float64
+	RepliedAt time.Time
+}
+
+// Limiter admits the requests of one node. Not safe for concurrent use.
+type Limiter struct {
+	bound Bound
+	own   coordinator.Member
+	share float64
+	// managers holds the other nodes of the fleet by rank, the first choice first, up to this
+	// node.
+	managers []coordinator.Member
+	failed   map[string]*failedManager
+	accounts map[string]*usage
+	// reportedAt is the time of the last report, and urgent is set if the next one is due
+	// before reportInterval.
+	reportedAt, repliedAt time.Time
+	urgent                bool
+	// inFlight is set between Report and its Apply or Fail.
+	inFlight bool
+}
+
+// failedManager is the state of a manager that did not answer.
+type failedManager struct {
+	repeats int
+	probeAt time.Time
+}
+
+// usage is the state of one account at this node.
+type usage struct {
+	cap account.Cap
+	// balance is the allowance that is left; negative if requests were admitted in advance.
+	balance float64
+	// waiting is the number of requests that wait for the next report.
+	waiting int
+	// demand and granted are rates in requests per second.
+	demand, granted float64
+	// arrivals is the number of requests since the last report.
+	arrivals int
+	seenAt   time.Time
+	// exhaustedUntil is when the manager expects allowance again.
+	exhaustedUntil time.Time
+	grantedAt      time.Time
+	// nextReturn is when the caller that is refused next may return.
+	nextReturn time.Time
+}
+
+// NewLimiter returns the limiter of a node that knows no other node yet.
+func NewLimiter(b Bound, own coordinator.Member) *Limiter {
+	return &Limiter{
+		bound: b, own: own, share: 1.0 / coordinator.DefaultFleetSize,
+		failed: make(map[string]*failedManager), accounts: make(map[string]*usage),
+	}
+}
+
+// SetFleet sets the registered nodes. Every node ranks them alike: larger ones come first.
+func (l *Limiter) SetFleet(f coordinator.Fleet) {
+	l.share = 1 / f.SizeFor(l.own)
+	l.managers = l.managers[:0]
+	for _, m := range f.Members {
+		if m.Node != l.own.Node && ranksBefore(m, l.own) {
+			l.managers = append(l.managers, m)
+		}
+	}
+	slices.SortFunc(l.managers, func(a, b coordinator.Member) int {
+		if ranksBefore(a, b) {
+			return -1
+		}
+		return 1
+	})
+	for node := range l.failed {
+		if !slices.ContainsFunc(l.managers, func(m coordinator.Member) bool { return m.Node == node }) {
+			delete(l.failed, node)
+		}
+	}
+}
+
+func ranksBefore(a, b coordinator.Member) bool {
+	if a.Capacity != b.Capacity {
+		return a.Capacity > b.Capacity
+	}
+	if x, y := rankHash(a.Node), rankHash(b.Node); x != y {
+		return x < y
+	}
+	return strings.Compare(a.Node, b.Node) < 0
+}
+
+func rankHash(node string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(node))
+	return h.Sum64()
+}
+
+// Take decides about a request of an account. After Wait, the caller calls Take again when
+// Apply or Fail has been called, or gives the request up.
+func (l *Limiter) Take(now time.Time, name string, limit account.Cap) Verdict {
+	if !limit.Limited() {
+		return Verdict{}
+	}
+	u := l.usage(name)
+	u.cap, u.seenAt = limit, now
+	u.balance = min(u.balance, max(limit.Burst, minReserve))
+	v := Verdict{Allowance: u.balance, RepliedAt: l.repliedAt}
+	switch {
+	case u.balance-1 >= -l.advance(limit):
+		u.balance--
+		u.arrivals++
+		// Half of the advance remains for requests that arrive during the report.
+		l.urgent = l.urgent || u.balance < -l.advance(limit)/2
+	case now.Before(u.exhaustedUntil):
+		v.Decision, v.RetryAfter = Refuse, u.refuse(now, l.share)
+		u.arrivals++
+	default:
+		v.Decision = Wait
+		u.waiting++
+		l.urgent = true
+	}
+	return v
+}
+
+// Return gives back the allowance of a request that was admitted and did not run.
+func (l *Limiter) Return(name string) {
+	if u := l.accounts[name]; u != nil {
+		u.balance++
+	}
+}
+
+// advance returns how many requests of an account this node may admit in advance.
+func (l *Limiter) advance(limit account.Cap) float64 {
+	return advancePart * l.share * l.bound.tolerance(limit.Rate, limit.Burst)
+}
+
+func (l *Limiter) usage(name string) *usage {
+	u := l.accounts[name]
+	if u == nil {
+		u = &usage{}
+		l.accounts[name] = u
+	}
+	return u
+}
+
+// refuse returns when a refused caller may have allowance. Callers that are refused one
+// after the other get times that follow each other at the rate of the node's grants.
+func (u *usage) refuse(now time.Time, share float64) time.Duration {
+	rate := max(u.granted, share*u.cap.Rate)
+	at := now
+	for _, t := range []time.Time{u.exhaustedUntil, u.nextReturn} {
+		if t.After(at) {
+			at = t
+		}
+	}
+	after := min(at.Sub(now), maxRetryAfter)
+	if rate > 0 {
+		u.nextReturn = now.Add(after + time.Duration(float64(time.Second)/rate))
+	}
+	return after
+}
+
+// NextReport returns when Report is due.
+func (l *Limiter) NextReport() time.Time {
+	if l.urgent {
+		return l.reportedAt.Add(urgentInterval)
+	}
+	return l.reportedAt.Add(reportInterval)
+}
+
+// Urgent reports whether the next report does not wait for reportInterval.
+func (l *Limiter) Urgent() bool { return l.urgent }
+
+// Report returns the report that is due at now, and the manager that receives it, which may
+// be this node. ok is false if none is due or the last one is in flight.
+func (l *Limiter) Report(now time.Time, version uint64) (to coordinator.Member, r Report, ok bool) {
+	if l.inFlight || now.Before(l.NextReport()) {
+		return to, r, false
+	}
+	r = Report{Node: l.own.Node, Version: version, Share: l.share}
+	elapsed := now.Sub(l.reportedAt)
+	for name, u := range l.accounts {
+		u.updateDemand(elapsed)
+		switch inactive := now.Sub(u.seenAt) > inactiveAfter; {
+		case inactive && u.balance >= 0 && u.waiting == 0:
+			delete(l.accounts, name)
+		default:
+			if d := u.request(name, inactive); d.Due > 0 || d.Reserve > 0 {
+				r.Demands = append(r.Demands, d)
+			}
+		}
+	}
+	slices.SortFunc(r.Demands, func(a, b Demand) int { return strings.Compare(a.Account, b.Account) })
+	l.reportedAt, l.urgent, l.inFlight = now, false, true
+	return l.manager(), r, true
+}
+
+func (u *usage) updateDemand(elapsed time.Duration) {
+	// A short interval between two urgent reports says little about the rate.
+	weight := rateWeight * min(1, float64(elapsed)/float64(reportInterval))
+	u.demand += weight * (float64(u.arrivals)/max(elapsed, urgentInterval).Seconds() - u.demand)
+	u.arrivals = 0
+}
+
+// request returns the demand of an account. The waiting requests ask again after the reply.
+func (u *usage) request(name string, inactive bool) Demand {
+	d := Demand{
+		Account: name, Rate: u.cap.Rate, Burst: u.cap.Burst,
+		Due: max(0, -u.balance) + float64(u.waiting), Held: max(0, u.balance),
+	}
+	if !inactive {
+		d.Reserve = max(0, max(minReserve, u.demand*reserveTime.Seconds())-d.Held)
+	}
+	u.waiting = 0
+	return d
+}
+
+// manager returns the first usable node in rank.
+func (l *Limiter) manager() coordinator.Member {
+	for _, m := range l.managers {
+		if l.failed[m.Node] == nil {
+			return m
+		}
+	}
+	return l.own
+}
+
+// Apply applies the reply to a report.
+func (l *Limiter) Apply(now time.Time, from string, r *Report, reply *Reply) {
+	if reply.Unavailable || len(reply.Grants) != len(r.Demands) {
+		l.Fail(now, from)
+		return
+	}
+	l.inFlight, l.repliedAt = false, now
+	for i := range r.Demands {
+		d, g := &r.Demands[i], reply.Grants[i]
+		u := l.accounts[d.Account]
+		if u == nil {
+			continue
+		}
+		u.balance += g.Allowance
+		u.updateGranted(now, g.Allowance)
+		if g.Allowance < d.Due {
+			u.exhaustedUntil = now.Add(max(g.Wait, minExhausted))
+		}
+	}
+}
+
+func (u *usage) updateGranted(now time.Time, allowance float64) {
+	if elapsed := now.Sub(u.grantedAt); !u.grantedAt.IsZero() && elapsed > 0 {
+		weight := min(1, rateWeight*float64(elapsed)/float64(reportInterval))
+		u.granted += weight * (allowance/elapsed.Seconds() - u.granted)
+	}
+	u.grantedAt = now
+}
+
+// Fail records that a manager did not answer a report. The next report goes to the next
+// manager in rank.
+func (l *Limiter) Fail(now time.Time, manager string) {
+	l.inFlight = false
+	l.urgent = true
+	l.recordFailure(now, manager)
+}
+
+func (l *Limiter) recordFailure(now time.Time, manager string) {
+	f := l.failed[manager]
+	if f == nil {
+		f = &failedManager{}
+		l.failed[manager] = f
+	} else {
+		f.repeats++
+	}
+	const doublings = 3
+	f.probeAt = now.Add(min(minProbeBackoff<<min(f.repeats, doublings), maxProbeBackoff))
+}
+
+// Probe returns a failed manager that is to be probed now. It is not returned again before
+// its backoff has ended.
+func (l *Limiter) Probe(now time.Time) (coordinator.Member, bool) {
+	for _, m := range l.managers {
+		if f := l.failed[m.Node]; f != nil && !now.Before(f.probeAt) {
+			l.recordFailure(now, m.Node)
+			return m, true
+		}
+	}
+	return coordinator.Member{}, false
+}
+
+// Recover records that a failed manager is available again.
+func (l *Limiter) Recover(manager string) { delete(l.failed, manager) }
+
+// Manager returns the name of the node that this node reports to.
+func (l *Limiter) Manager() string { return l.manager().Node }
+
+// Use is the state of one account at this node, for operators.
+type Use struct {
+	Account string
+	Cap     account.Cap
+	// Allowance is what the node holds, and Demand the rate of its requests per second.
+	Allowance, Demand float64
+	// Exhausted is set if the node refuses requests of the account.
+	Exhausted bool
+}
+
+// Uses returns the accounts with requests at this node, by name.
+func (l *Limiter) Uses(now time.Time) []Use {
+	uses := make([]Use, 0, len(l.accounts))
+	for name, u := range l.accounts {
+		uses = append(uses, Use{
+			Account: name, Cap: u.cap, Allowance: u.balance, Demand: u.demand,
+			Exhausted: u.balance < 1 && now.Before(u.exhaustedUntil),
+		})
+	}
+	slices.SortFunc(uses, func(a, b Use) int { return strings.Compare(a.Account, b.Account) })
+	return uses
+}
