--- a/policy/quota/pool.go
+++ b/policy/quota/pool.go
@@ -7,8 +7,10 @@
 const (
 	// leaseTTL is how long a part is lent after a report. It covers two lost reports.
 	leaseTTL = 700 * time.Millisecond
-	// heldTTL is how long the reserve of a node counts after the node reported it.
-	heldTTL = 2 * inactiveAfter
+	// heldTTL is how long the reserve of a node counts after the node reported it, and
+	// heldSweepInterval the time between two removals of reserves that no longer count.
+	heldTTL           = 2 * inactiveAfter
+	heldSweepInterval = time.Second
 	// sweepInterval is the time between two removals of accounts without demand.
 	sweepInterval = 10 * time.Second
 	// minDepth is the least depth of a bucket: less would never hold a whole request.
@@ -20,10 +22,12 @@
 type Pool struct {
 	bound  Bound
 	leases map[string]partLease
-	// share is the sum of the leases' parts, and filled its integral over time in seconds
-	// until at.
-	share, filled float64
-	at            time.Time
+	// lent is the sum of the leases' parts. No lease ends before firstEnd.
+	lent     float64
+	firstEnd time.Time
+	// filled is the integral of the share over time in seconds until at.
+	filled float64
+	at     time.Time
 	accounts      map[string]*bucket
 	sweepAt       time.Time
 }
@@ -42,8 +46,10 @@
 	// filled is Pool.filled as of the last refill, and usedAt the time of the last demand.
 	filled float64
 	usedAt time.Time
-	// held holds the reserves of the nodes.
-	held map[string]heldReserve
+	// held holds the reserves of the nodes, and heldSum their sum.
+	held        map[string]heldReserve
+	heldSum     float64
+	heldSweepAt time.Time
 }
 
 // heldReserve is the reserve that one node reported, with what it was granted then.
@@ -63,8 +69,7 @@
 		return Reply{}
 	}
 	p.advance(now)
-	p.leases[r.Node] = partLease{share: r.Share, until: now.Add(leaseTTL)}
-	p.sumShares()
+	p.renew(now, r.Node, r.Share)
 	p.sweep(now)
 	reply := Reply{Grants: make([]Grant, 0, len(r.Demands))}
 	for i := range r.Demands {
@@ -75,34 +80,50 @@
 	return reply
 }
 
+func (p *Pool) renew(now time.Time, node string, share float64) {
+	until := now.Add(leaseTTL)
+	if len(p.leases) == 0 {
+		p.firstEnd = until
+	}
+	p.lent += share - p.leases[node].share
+	p.leases[node] = partLease{share: share, until: until}
+}
+
+// share returns the part of every cap that the pool may grant. While a node joins, the nodes'
+// views of the fleet may differ, and their parts may add up to more than 1.
+func (p *Pool) share() float64 { return min(p.lent, 1) }
+
 // advance integrates the parts up to now and removes the leases that have ended.
 func (p *Pool) advance(now time.Time) {
-	for {
-		ended, at := "", now
-		for node, lease := range p.leases {
-			if lease.until.Before(at) {
-				ended, at = node, lease.until
-			}
-		}
-		if step := at.Sub(p.at); step > 0 {
-			p.filled += p.share * step.Seconds()
-			p.at = at
-		}
-		if ended == "" {
-			return
-		}
-		delete(p.leases, ended)
-		p.sumShares()
+	for !now.Before(p.firstEnd) && len(p.leases) > 0 {
+		p.fill(p.firstEnd)
+		p.endLeases(p.firstEnd)
 	}
+	p.fill(now)
 }
 
-// sumShares adds up the parts. While a node joins, the nodes' views of the fleet may differ.
-func (p *Pool) sumShares() {
-	sum := 0.0
-	for _, lease := range p.leases {
-		sum += lease.share
+func (p *Pool) fill(until time.Time) {
+	if step := until.Sub(p.at); step > 0 {
+		p.filled += p.share() * step.Seconds()
+		p.at = until
 	}
-	p.share = min(sum, 1)
+}
+
+// endLeases removes the leases that end at or before a time, and adds up the others anew.
+func (p *Pool) endLeases(at time.Time) {
+	p.lent = 0
+	first := time.Time{}
+	for node, lease := range p.leases {
+		if !lease.until.After(at) {
+			delete(p.leases, node)
+			continue
+		}
+		p.lent += lease.share
+		if first.IsZero() || lease.until.Before(first) {
+			first = lease.until
+		}
+	}
+	p.firstEnd = first
 }
 
 // refill returns the account's bucket as of now, with the newest cap.
@@ -110,13 +131,13 @@
 	b := p.accounts[d.Account]
 	if b == nil {
 		// The bucket has filled since the pool was made.
-		b = &bucket{held: make(map[string]heldReserve), allowance: startPart * p.share * p.bound.tolerance(d.Rate, d.Burst)}
+		b = &bucket{held: make(map[string]heldReserve), allowance: startPart * p.share() * p.bound.tolerance(d.Rate, d.Burst)}
 		p.accounts[d.Account] = b
 	}
 	if version >= b.version {
 		b.version, b.rate, b.burst = version, d.Rate, d.Burst
 	}
-	b.allowance = min(b.allowance+b.rate*(p.filled-b.filled), max(p.share*b.burst, minDepth))
+	b.allowance = min(b.allowance+b.rate*(p.filled-b.filled), max(p.share()*b.burst, minDepth))
 	b.filled, b.usedAt = p.filled, now
 	return b
 }
@@ -125,28 +146,37 @@
 func (p *Pool) grant(now time.Time, b *bucket, node string, d *Demand) Grant {
 	due := min(d.Due, b.allowance)
 	b.allowance -= due
-	reserve := max(0, min(d.Reserve, b.allowance, p.reserveLeft(now, b, node)-d.Held))
+	b.sweepHeld(now)
+	left := reservePart*p.bound.tolerance(b.rate, b.burst) - (b.heldSum - b.held[node].amount)
+	reserve := max(0, min(d.Reserve, b.allowance, left-d.Held))
 	b.allowance -= reserve
-	b.held[node] = heldReserve{amount: d.Held + reserve, until: now.Add(heldTTL)}
+	b.hold(node, heldReserve{amount: d.Held + reserve, until: now.Add(heldTTL)})
 	g := Grant{Allowance: due + reserve}
-	if b.allowance < 1 && b.rate*p.share > 0 {
-		g.Wait = time.Duration((1 - b.allowance) / (b.rate * p.share) * float64(time.Second))
+	if rate := b.rate * p.share(); b.allowance < 1 && rate > 0 {
+		g.Wait = time.Duration(min((1-b.allowance)/rate, maxRetryAfter.Seconds()) * float64(time.Second))
 	}
 	return g
 }
 
-// reserveLeft returns the reserve that a node may hold beside those of the other nodes.
-func (p *Pool) reserveLeft(now time.Time, b *bucket, node string) float64 {
-	left := reservePart * p.bound.tolerance(b.rate, b.burst)
-	for other, h := range b.held {
-		switch {
-		case now.After(h.until):
-			delete(b.held, other)
-		case other != node:
-			left -= h.amount
+func (b *bucket) hold(node string, h heldReserve) {
+	b.heldSum += h.amount - b.held[node].amount
+	b.held[node] = h
+}
+
+// sweepHeld removes the reserves that no longer count, and adds up the others anew.
+func (b *bucket) sweepHeld(now time.Time) {
+	if now.Before(b.heldSweepAt) {
+		return
+	}
+	b.heldSweepAt = now.Add(heldSweepInterval)
+	b.heldSum = 0
+	for node, h := range b.held {
+		if now.After(h.until) {
+			delete(b.held, node)
+			continue
 		}
+		b.heldSum += h.amount
 	}
-	return left
 }
 
 // sweep removes the buckets of accounts without demand whose allowance is full again.
