--- a/policy/quota/pool.go
+++ b/policy/quota/pool.go
@@ -26,10 +26,10 @@
 	lent     float64
 	firstEnd time.Time
 	// filled is the integral of the share over time in seconds until at.
-	filled float64
-	at     time.Time
-	accounts      map[string]*bucket
-	sweepAt       time.Time
+	filled   float64
+	at       time.Time
+	accounts map[string]*bucket
+	sweepAt  time.Time
 }
 
 // partLease is the part that one node has lent.
