Serve on while the store's history is lost, and resume interrupted reads

A coordinator that lost its watch counted as not having read the store until it had read all 54 pages anew, so that all 60 coordinators refused their senders at the same moment; 925 small nodes then read the store themselves. Any failed page began the read at the first one again.

Change: a node that has read the store once stays usable while it reads again. What operators write takes effect with the page that holds it. A failed page is repeated, not the whole read.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -54,7 +54,11 @@
 	pollNow chan struct{}
 
 	// Only the goroutine of Run uses the fields below.
-	state            *state
+	state *state
+	// reading is the full read in progress; nil without one. outdated is set if the history
+	// after the state's revision is lost, so that changes are missing until the next read.
+	reading          *fullRead
+	outdated         bool
 	lastSuccess      time.Time
 	failing          bool
 	outageGraceUntil time.Time
@@ -161,7 +165,7 @@
 			continue
 		}
 		var err error
-		if d.synced.Load() {
+		if d.synced.Load() && !d.outdated {
 			err = d.watch(ctx)
 		} else {
 			err = d.read(ctx)
@@ -179,6 +183,7 @@
 // read in full before a view is published, since the collected state is outdated.
 func (d *Directory) waitSuspended(ctx context.Context) {
 	d.synced.Store(false)
+	d.reading, d.outdated = nil, false
 	d.failing = false
 	d.unansweredSince.Store(nil)
 	d.view.Store(nil)
--- a/node/directory/read.go
+++ b/node/directory/read.go
@@ -12,57 +12,85 @@
 // store answers within 250 ms.
 const callTimeout = time.Second
 
-// read reads the whole store. One sequence of pages covers all areas, which needs fewer
-// calls than one sequence for each area.
+// fullRead is a read of the whole store in progress. It outlives failed calls: in a large
+// fleet, a read that began anew after each of them might never end.
+type fullRead struct {
+	began time.Time
+	// cursor is that of the next page.
+	cursor string
+	// first and last are the revisions of the first and of the newest page.
+	first, last uint64
+	// listed and upgrades hold the names of the records that were read.
+	listed   map[Area]map[string]bool
+	upgrades listedUpgrades
+	changed  bool
+}
+
+// read reads the whole store, or the rest of a read that a failed call has interrupted. One
+// sequence of pages covers all areas, which needs fewer calls than one sequence for each
+// area.
 func (d *Directory) read(ctx context.Context) error {
-	began := time.Now()
-	var first, last uint64
-	listed := make(map[Area]map[string]bool)
-	upgrades := make(listedUpgrades)
-	changed := false
-	for more, cursor := true, ""; more; more = cursor != "" {
-		page, err := d.readPage(ctx, cursor)
+	if d.reading == nil {
+		d.reading = &fullRead{began: time.Now(), listed: make(map[Area]map[string]bool), upgrades: make(listedUpgrades)}
+	}
+	r := d.reading
+	for more := true; more; more = r.cursor != "" {
+		page, err := d.readPage(ctx, r.cursor)
 		if err != nil {
 			return err
 		}
 		d.recordSuccess()
-		if first == 0 {
-			first = page.Revision
-		}
-		last = max(last, page.Revision)
-		now := time.Now()
-		for _, r := range page.Records {
-			if listed[r.Area] == nil {
-				listed[r.Area] = make(map[string]bool)
-			}
-			listed[r.Area][r.Name] = true
-			if r.Area == AreaUpgrades {
-				upgrades.add(r)
-			}
-			changed = d.apply(now, r) || changed
-		}
-		cursor = page.NextCursor
+		d.applyPage(r, &page)
 	}
-	changed = d.removeUnlisted(listed, first) || changed
-	changed = d.state.removeUnlistedUpgrades(upgrades, first) || changed
+	d.reading, d.outdated = nil, false
+	r.changed = d.removeUnlisted(r.listed, r.first) || r.changed
+	r.changed = d.state.removeUnlistedUpgrades(r.upgrades, r.first) || r.changed
 	// Pages are not a snapshot. The watch continues from the revision of the first page;
 	// records that it repeats are no newer than those already applied.
-	d.state.revision = max(d.state.revision, first)
-	if last > first {
+	d.state.revision = max(d.state.revision, r.first)
+	d.opts.Log.WithFields(logrus.Fields{
+		"revision": r.first, "replicas": d.state.replicas.Len(), "took_ms": time.Since(r.began).Milliseconds(),
+	}).Info("read the store")
+	if r.last > r.first {
 		late, err := d.catchUp(ctx)
 		if err != nil {
-			return err
+			// The next watch applies the same changes.
+			d.opts.Log.WithError(err).Info("changes during the read are not known yet")
 		}
-		changed = changed || late
+		r.changed = r.changed || late
 	}
 	d.synced.Store(true)
-	d.opts.Log.WithFields(logrus.Fields{
-		"revision": first, "replicas": d.state.replicas.Len(), "took_ms": time.Since(began).Milliseconds(),
-	}).Info("read the store")
-	d.publish(changed || d.View() == nil)
+	d.publish(r.changed || d.View() == nil)
 	return nil
 }
 
+// applyPage applies the records of the next page. A node that has a view publishes what
+// operators have changed at once: the pages of a large fleet's replicas take seconds.
+func (d *Directory) applyPage(r *fullRead, page *Page) {
+	if r.first == 0 {
+		r.first = page.Revision
+	}
+	r.last = max(r.last, page.Revision)
+	r.cursor = page.NextCursor
+	now := time.Now()
+	operators := false
+	for _, record := range page.Records {
+		if r.listed[record.Area] == nil {
+			r.listed[record.Area] = make(map[string]bool)
+		}
+		r.listed[record.Area][record.Name] = true
+		if record.Area == AreaUpgrades {
+			r.upgrades.add(record)
+		}
+		changed := d.apply(now, record)
+		r.changed = r.changed || changed
+		operators = operators || changed && record.Area == AreaOperators
+	}
+	if operators && d.synced.Load() {
+		d.publish(true)
+	}
+}
+
 // catchUp applies what was written while the pages were read. Without it, a node that
 // accepts callers lacks replicas until its first watch returns.
 func (d *Directory) catchUp(ctx context.Context) (changed bool, err error) {
@@ -70,7 +98,7 @@
 	defer cancel()
 	page, err := d.opts.Store.Watch(ctx, d.state.revision, 0)
 	if errors.Is(err, ErrCompacted) {
-		// The next watch fails in the same way, which causes another full read.
+		// The next watch fails in the same way.
 		return false, nil
 	}
 	if err != nil {
--- a/node/directory/watch.go
+++ b/node/directory/watch.go
@@ -51,7 +51,7 @@
 	page, err := d.nextChanges(ctx)
 	if errors.Is(err, ErrCompacted) {
 		d.opts.Log.WithField("revision", d.state.revision).Info("the store has compacted its history: reading all records")
-		d.synced.Store(false)
+		d.outdated = true
 		return nil
 	}
 	if err != nil {
