Learn lost changes of replicas from nodes that have read them

Cause: when the store loses its history, each of 60 coordinators read all 10,700 records in 54 pages: 3,240 calls and 256 MB over the store's link, at the same moment, and again for each further loss.

Change: the first two nodes in rank read all records; the others ask them, or a random node that has asked before, for the changes of replicas after their own revision, and read only the other areas from the store. A node that gets no answer within 3 to 6 s reads all itself. After a full read the next one waits for ten times its duration, 2 s at most.

Measured: directory.TestFewNodesReadAllRecordsAfterLostHistory (20 nodes, 1,200 replicas): all nodes have all changes within 8 s for 50 pages and one read of the small areas a node; TestNodeReadsAllRecordsWhenNoOtherKnowsTheChanges passes.

Conclusion: the calls of a lost history grow with readers x replicas and with nodes, no longer with nodes x replicas; to be measured on the fleet.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 	// AnswerBound is the time within which the store must answer for this node's view to stay
 	// in use; 0 for no bound.
 	AnswerBound time.Duration
+	// History asks other nodes for changes whose history the store has lost; may be nil.
+	History History
 	// Changed is called with each new view, one call at a time; may be nil.
 	Changed func(*View)
 	// Quarantined is called with each quarantined request that is read, before the view that
@@ -53,12 +56,19 @@
 	// pollNow is signalled to end the pause between two watches.
 	pollNow chan struct{}
 
+	// stateMu guards state and completeFrom. Only the goroutine of Run changes them.
+	stateMu sync.Mutex
+	state   *state
+	// completeFrom is the revision from which the state holds all changes; 0 before the first
+	// full read.
+	completeFrom uint64
+
 	// Only the goroutine of Run uses the fields below.
-	state *state
 	// reading is the full read in progress; nil without one. outdated is set if the history
 	// after the state's revision is lost, so that changes are missing until the next read.
 	reading          *fullRead
 	outdated         bool
+	resync           resync
 	lastSuccess      time.Time
 	failing          bool
 	outageGraceUntil time.Time
@@ -165,9 +175,12 @@
 			continue
 		}
 		var err error
-		if d.synced.Load() && !d.outdated {
+		switch {
+		case d.synced.Load() && !d.outdated:
 			err = d.watch(ctx)
-		} else {
+		case d.synced.Load():
+			err = d.refresh(ctx)
+		default:
 			err = d.read(ctx)
 		}
 		if ctx.Err() != nil {
@@ -183,7 +196,10 @@
 // read in full before a view is published, since the collected state is outdated.
 func (d *Directory) waitSuspended(ctx context.Context) {
 	d.synced.Store(false)
-	d.reading, d.outdated = nil, false
+	d.reading, d.outdated, d.resync = nil, false, resync{}
+	d.stateMu.Lock()
+	d.completeFrom = 0
+	d.stateMu.Unlock()
 	d.failing = false
 	d.unansweredSince.Store(nil)
 	d.view.Store(nil)
@@ -200,19 +216,17 @@
 	if r.Quarantined != nil && d.opts.Quarantined != nil {
 		d.opts.Quarantined(*r.Quarantined)
 	}
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
 	return d.state.apply(now, r, now.Before(d.outageGraceUntil))
 }
 
 // publish stores a new view if something changed, and passes it to Options.Changed.
 func (d *Directory) publish(changed bool) {
-	now := time.Now()
-	expired := d.state.replicas.Expire(now) || d.state.holdEnded(now)
-	d.updateFleet(now)
-	if d.state.index == nil || !changed && !expired || !d.following.isOpen() {
+	previous, v := d.View(), d.nextView(changed)
+	if v == nil {
 		return
 	}
-	previous := d.View()
-	v := d.state.view(now)
 	d.view.Store(v)
 	if previous == nil || previous.Index.Version != v.Index.Version {
 		d.opts.Log.WithFields(logrus.Fields{
@@ -225,6 +239,19 @@
 	}
 }
 
+// nextView returns the view of the current state, or nil if nothing changed.
+func (d *Directory) nextView(changed bool) *View {
+	now := time.Now()
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	expired := d.state.replicas.Expire(now) || d.state.holdEnded(now)
+	d.updateFleet(now)
+	if d.state.index == nil || !changed && !expired || !d.following.isOpen() {
+		return nil
+	}
+	return d.state.view(now)
+}
+
 // maxLoggedAccounts bounds the accounts of each kind of change in a log line.
 const maxLoggedAccounts = 10
 
@@ -250,7 +277,7 @@
 	d.opts.Log.WithFields(fields).Info("accounts changed")
 }
 
-// updateFleet recomputes which nodes share the fleet's budgets.
+// updateFleet recomputes which nodes share the fleet's budgets. d.stateMu is held.
 func (d *Directory) updateFleet(now time.Time) {
 	next := d.state.nodes.Fleet(now)
 	before := d.fleet.Swap(&next)
--- a/node/directory/directory_test.go
+++ b/node/directory/directory_test.go
@@ -96,6 +96,22 @@
 	return page, nil
 }
 
+func (s *fakeStore) ReadOthers(context.Context) (directory.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.unavailable {
+		return directory.Page{}, errUnavailable
+	}
+	page := directory.Page{Revision: s.revision}
+	for _, r := range s.items {
+		if r.Area != directory.AreaReplicas {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, nil
+}
+
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (directory.Page, error) {
 	s.mu.Lock()
 	s.calls++
@@ -181,12 +197,17 @@
 
 // followWithCallback is follow with a function that receives each new view.
 func followWithCallback(t *testing.T, s *fakeStore, changed func(*directory.View)) *directory.Directory {
+	t.Helper()
+	return followAs(t, directory.Options{Store: s, Node: coordinator.Member{Node: "n1", Capacity: 1}, UpdateBound: updateBound, Changed: changed})
+}
+
+// followAs runs a directory for the duration of the test.
+func followAs(t *testing.T, o directory.Options) *directory.Directory {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d := directory.New(directory.Options{
-		Store: s, Node: coordinator.Member{Node: "n1", Capacity: 1}, Log: log, UpdateBound: updateBound, Changed: changed,
-	})
+	o.Log = log
+	d := directory.New(o)
 	d.Follow(true)
 	ctx, cancel := context.WithCancel(t.Context())
 	var done sync.WaitGroup
--- /dev/null
+++ b/node/directory/history.go
@@ -0,0 +1,175 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/carobmill/carobmill/node/work"
+	"github.com/carobmill/carobmill/policy/coordinator"
+	"github.com/carobmill/carobmill/policy/registry"
+)
+
+const (
+	// fullReaders is the number of nodes that read the whole store again when its history is
+	// lost. The others ask them for what has changed.
+	fullReaders = 2
+	// minReadPages is the length of a full read from which nodes ask others instead.
+	minReadPages = 8
+	// historyPatience is how long a node asks others before it reads the whole store itself,
+	// and the time over which such reads are spread.
+	historyPatience = 3 * time.Second
+	// historyTimeout bounds a question to another node, and historyRetry is the average time
+	// between two questions.
+	historyTimeout = 400 * time.Millisecond
+	historyRetry   = 300 * time.Millisecond
+	// After a full read, the next one may begin once readSpacing times its duration has
+	// passed, maxReadSpacing at most, so that a store that loses its history all the time is
+	// not read all the time.
+	readSpacing    = 10
+	maxReadSpacing = 2 * time.Second
+)
+
+// ErrHistoryUnknown: a node does not know all changes after a revision.
+var ErrHistoryUnknown = errors.New("changes after the revision are not known")
+
+// ReplicaChanges are the changes of replicas after a revision, as another node knows them.
+type ReplicaChanges struct {
+	// Revision is the one up to which the changes are complete.
+	Revision uint64
+	Changes  []registry.Change
+}
+
+// History asks other nodes for changes whose history the store has lost.
+type History interface {
+	// ReplicaChanges returns the changes after a revision that a node knows. It fails with
+	// ErrHistoryUnknown if that node does not know all of them.
+	ReplicaChanges(ctx context.Context, from coordinator.Member, after uint64) (ReplicaChanges, error)
+}
+
+// ReplicaChanges returns the changes of replicas after a revision, or ErrHistoryUnknown. Safe
+// for concurrent use.
+func (d *Directory) ReplicaChanges(after uint64) (ReplicaChanges, error) {
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	if d.completeFrom == 0 || after < d.completeFrom || after >= d.state.revision {
+		return ReplicaChanges{}, ErrHistoryUnknown
+	}
+	return ReplicaChanges{Revision: d.state.revision, Changes: d.state.replicas.ChangesAfter(after)}, nil
+}
+
+// resync is the state of a node that misses changes whose history the store has lost.
+type resync struct {
+	// began is when the loss was found, and patience how long the node asks others.
+	began    time.Time
+	patience time.Duration
+	// nextRead is when the next full read may begin, and pages the length of the last one.
+	nextRead time.Time
+	pages    int
+	asked    int
+}
+
+func (r *resync) readEnded(took time.Duration, pages int) {
+	r.nextRead = time.Now().Add(min(readSpacing*took, maxReadSpacing))
+	r.pages = pages
+	r.asked = 0
+}
+
+// refresh learns the changes whose history the store has lost: from another node if the store
+// is large, else by a full read.
+func (d *Directory) refresh(ctx context.Context) error {
+	if d.reading == nil {
+		work.Sleep(ctx, time.Until(d.resync.nextRead))
+		if from, ok := d.historySource(); ok {
+			return d.refreshFrom(ctx, from)
+		}
+	}
+	return d.read(ctx)
+}
+
+// historySource returns the node to ask next. It returns false if this node is to read the
+// whole store itself.
+func (d *Directory) historySource() (coordinator.Member, bool) {
+	r := &d.resync
+	if d.opts.History == nil || r.pages < minReadPages {
+		return coordinator.Member{}, false
+	}
+	if r.asked == 0 {
+		r.patience = historyPatience + rand.N(historyPatience)
+	}
+	ranked := d.Fleet().Ranked()
+	readers := ranked[:min(fullReaders, len(ranked))]
+	for _, m := range readers {
+		if m.Node == d.opts.Node.Node {
+			return coordinator.Member{}, false
+		}
+	}
+	if len(readers) == 0 || time.Since(r.began) > r.patience {
+		return coordinator.Member{}, false
+	}
+	r.asked++
+	if r.asked%2 == 1 {
+		return readers[r.asked/2%len(readers)], true
+	}
+	// Nodes that have asked a reader know the changes too.
+	other := ranked[rand.IntN(len(ranked))]
+	return other, other.Node != d.opts.Node.Node
+}
+
+// refreshFrom learns the changes of replicas from another node and reads the other areas,
+// which are small. Without an answer it returns nil, so that another node is asked.
+func (d *Directory) refreshFrom(ctx context.Context, from coordinator.Member) error {
+	callCtx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	changes, err := d.opts.History.ReplicaChanges(callCtx, from, d.state.revision)
+	if err != nil {
+		work.Sleep(ctx, historyRetry/2+rand.N(historyRetry))
+		return nil
+	}
+	readCtx, cancelRead := context.WithTimeout(ctx, callTimeout)
+	defer cancelRead()
+	others, err := d.opts.Store.ReadOthers(readCtx)
+	if err != nil {
+		return err
+	}
+	d.recordSuccess()
+	changed := d.applyChanges(&changes)
+	changed = d.applyOthers(&others) || changed
+	d.setRevision(min(changes.Revision, others.Revision))
+	d.outdated = false
+	d.resync.asked = 0
+	d.resync.nextRead = time.Now().Add(maxReadSpacing)
+	d.opts.Log.WithFields(logrus.Fields{
+		"from": from.Node, "revision": d.state.revision, "changes": len(changes.Changes),
+		"took_ms": time.Since(d.resync.began).Milliseconds(),
+	}).Info("learned the missing changes from another node")
+	d.publish(changed)
+	return nil
+}
+
+// applyChanges applies the changes of replicas.
+func (d *Directory) applyChanges(c *ReplicaChanges) (changed bool) {
+	now := time.Now()
+	for i := range c.Changes {
+		change := &c.Changes[i]
+		record := Record{Area: AreaReplicas, Name: change.Replica.ID, Revision: change.Revision, Removed: change.Removed}
+		if !change.Removed {
+			record.Replica = &change.Replica
+		}
+		changed = d.apply(now, record) || changed
+	}
+	return changed
+}
+
+// applyOthers applies a complete listing of all areas but that of the replicas.
+func (d *Directory) applyOthers(page *Page) bool {
+	r := &fullRead{listed: make(map[Area]map[string]bool), upgrades: make(listedUpgrades)}
+	d.applyPage(r, page)
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	changed := d.removeUnlistedOthers(r.listed, page.Revision) || r.changed
+	return d.state.removeUnlistedUpgrades(r.upgrades, page.Revision) || changed
+}
--- a/node/directory/history_test.go
+++ b/node/directory/history_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/carobmill/carobmill/node/directory"
+	"github.com/carobmill/carobmill/policy/coordinator"
 )
 
 // fillStore registers replicas that a read lists on many pages, each of which takes 20 ms.
@@ -72,4 +74,81 @@
 	})
 }
 
-var _ directory.Store = (*fakeStore)(nil)
+// nodes is a fleet of directories that ask each other.
+type nodes map[string]*directory.Directory
+
+func (n nodes) ReplicaChanges(_ context.Context, from coordinator.Member, after uint64) (directory.ReplicaChanges, error) {
+	time.Sleep(3 * time.Millisecond)
+	return n[from.Node].ReplicaChanges(after)
+}
+
+// startNodes runs n directories that follow a store and are registered there.
+func startNodes(t *testing.T, s *fakeStore, n int) nodes {
+	fleet := make(nodes)
+	for i := range n {
+		m := coordinator.Member{Node: fmt.Sprintf("n%d", i), Capacity: 1}
+		s.put(directory.Record{Area: directory.AreaNodes, Name: m.Node, Node: &m})
+	}
+	for i := range n {
+		m := coordinator.Member{Node: fmt.Sprintf("n%d", i), Capacity: 1}
+		fleet[m.Node] = followAs(t, directory.Options{Store: s, Node: m, UpdateBound: updateBound, History: fleet})
+	}
+	return fleet
+}
+
+// Guards against a fleet of which every node reads all records again when the store loses its
+// history, and against changes that a node then misses.
+func TestFewNodesReadAllRecordsAfterLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newFakeStore()
+		fillStore(s, 1200)
+		s.pageSize = 50
+		const size = 20
+		fleet := startNodes(t, s, size)
+		time.Sleep(5 * time.Second)
+		// The changes come while no watch is answered, and their history is lost.
+		s.set(func() { s.silent = true })
+		s.put(removedRecord("r00001"))
+		s.put(replicaRecord("r99999"))
+		s.put(configurationRecord(2))
+		calls := s.calls
+		s.set(func() { s.compactedBefore, s.silent = s.revision, false })
+		time.Sleep(8 * time.Second)
+		for name, d := range fleet {
+			v := d.View()
+			c.Assert(v.Index.Version, qt.Equals, uint64(2), qt.Commentf("%s", name))
+			c.Assert(len(v.Replicas["timing"]), qt.Equals, 1200)
+			ids := make(map[string]bool)
+			for _, r := range v.Replicas["timing"] {
+				ids[r.ID] = true
+			}
+			c.Assert(ids["r00001"], qt.IsFalse)
+			c.Assert(ids["r99999"], qt.IsTrue)
+		}
+		// Two nodes read 25 pages each. The others read the small areas, and all watch.
+		c.Assert(s.calls-calls <= 2*25+size+size*9, qt.IsTrue, qt.Commentf("%d calls", s.calls-calls))
+	})
+}
+
+// Guards against a node that waits for others while none of them can answer.
+func TestNodeReadsAllRecordsWhenNoOtherKnowsTheChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newFakeStore()
+		fillStore(s, 1200)
+		s.pageSize = 50
+		fleet := startNodes(t, s, 4)
+		time.Sleep(5 * time.Second)
+		for _, d := range fleet {
+			d.Follow(false)
+		}
+		m := coordinator.Member{Node: "alone", Capacity: 0.1}
+		d := followAs(t, directory.Options{Store: s, Node: m, UpdateBound: updateBound, History: fleet})
+		time.Sleep(5 * time.Second)
+		s.put(removedRecord("r00001"))
+		s.set(func() { s.compactedBefore = s.revision })
+		time.Sleep(15 * time.Second)
+		c.Assert(usableReplicas(d), qt.Equals, 1199)
+	})
+}
--- a/node/directory/read.go
+++ b/node/directory/read.go
@@ -24,6 +24,7 @@
 	listed   map[Area]map[string]bool
 	upgrades listedUpgrades
 	changed  bool
+	pages    int
 }
 
 // read reads the whole store, or the rest of a read that a failed call has interrupted. One
@@ -43,11 +44,8 @@
 		d.applyPage(r, &page)
 	}
 	d.reading, d.outdated = nil, false
-	r.changed = d.removeUnlisted(r.listed, r.first) || r.changed
-	r.changed = d.state.removeUnlistedUpgrades(r.upgrades, r.first) || r.changed
-	// Pages are not a snapshot. The watch continues from the revision of the first page;
-	// records that it repeats are no newer than those already applied.
-	d.state.revision = max(d.state.revision, r.first)
+	d.resync.readEnded(time.Since(r.began), r.pages)
+	d.endRead(r)
 	d.opts.Log.WithFields(logrus.Fields{
 		"revision": r.first, "replicas": d.state.replicas.Len(), "took_ms": time.Since(r.began).Milliseconds(),
 	}).Info("read the store")
@@ -64,6 +62,27 @@
 	return nil
 }
 
+// endRead removes what a complete read did not list. Pages are not a snapshot: the watch
+// continues from the revision of the first page; records that it repeats are no newer than
+// those already applied.
+func (d *Directory) endRead(r *fullRead) {
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	r.changed = d.removeUnlisted(r.listed, r.first) || r.changed
+	r.changed = d.state.removeUnlistedUpgrades(r.upgrades, r.first) || r.changed
+	d.state.revision = max(d.state.revision, r.first)
+	if d.completeFrom == 0 {
+		d.completeFrom = r.first
+	}
+}
+
+// setRevision records that all changes up to a revision were applied.
+func (d *Directory) setRevision(revision uint64) {
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	d.state.revision = max(d.state.revision, revision)
+}
+
 // applyPage applies the records of the next page. A node that has a view publishes what
 // operators have changed at once: the pages of a large fleet's replicas take seconds.
 func (d *Directory) applyPage(r *fullRead, page *Page) {
@@ -71,6 +90,7 @@
 		r.first = page.Revision
 	}
 	r.last = max(r.last, page.Revision)
+	r.pages++
 	r.cursor = page.NextCursor
 	now := time.Now()
 	operators := false
@@ -108,7 +128,7 @@
 	for _, r := range page.Records {
 		changed = d.apply(now, r) || changed
 	}
-	d.state.revision = max(d.state.revision, page.Revision)
+	d.setRevision(page.Revision)
 	return changed, nil
 }
 
@@ -118,11 +138,15 @@
 	return d.opts.Store.Read(ctx, cursor)
 }
 
-// removeUnlisted removes what a full read did not list.
+// removeUnlisted removes what a full read did not list. d.stateMu is held.
 func (d *Directory) removeUnlisted(listed map[Area]map[string]bool, revision uint64) (changed bool) {
 	now := time.Now()
-	d.state.nodes.RemoveUnlisted(now, listed[AreaNodes], revision)
 	replicasRemoved := d.state.replicas.RemoveMissing(now, listed[AreaReplicas], revision, now.Before(d.outageGraceUntil))
-	exclusionsRemoved := d.state.removeUnlistedExclusions(listed[AreaOperators])
-	return replicasRemoved || exclusionsRemoved
+	return d.removeUnlistedOthers(listed, revision) || replicasRemoved
+}
+
+// removeUnlistedOthers is removeUnlisted without the replicas. d.stateMu is held.
+func (d *Directory) removeUnlistedOthers(listed map[Area]map[string]bool, revision uint64) (changed bool) {
+	d.state.nodes.RemoveUnlisted(time.Now(), listed[AreaNodes], revision)
+	return d.state.removeUnlistedExclusions(listed[AreaOperators])
 }
--- a/node/directory/store.go
+++ b/node/directory/store.go
@@ -94,6 +94,9 @@
 	// Read returns the page, over all areas, that begins after a cursor. The first page
 	// begins after the empty cursor.
 	Read(ctx context.Context, cursor string) (Page, error)
+	// ReadOthers returns the records of all areas but AreaReplicas. The page's revision is the
+	// least at which any of them was read.
+	ReadOthers(ctx context.Context) (Page, error)
 	// Watch returns the changes after a revision. It waits for the first one, at most for
 	// the given time.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error)
--- a/node/directory/watch.go
+++ b/node/directory/watch.go
@@ -50,8 +50,9 @@
 	started := time.Now()
 	page, err := d.nextChanges(ctx)
 	if errors.Is(err, ErrCompacted) {
-		d.opts.Log.WithField("revision", d.state.revision).Info("the store has compacted its history: reading all records")
+		d.opts.Log.WithField("revision", d.state.revision).Info("the store has compacted its history: changes are missing")
 		d.outdated = true
+		d.resync.began = time.Now()
 		return nil
 	}
 	if err != nil {
@@ -63,7 +64,7 @@
 	for _, r := range page.Records {
 		changed = d.apply(now, r) || changed
 	}
-	d.state.revision = max(d.state.revision, page.Revision)
+	d.setRevision(page.Revision)
 	d.publish(changed)
 	d.pause(ctx, time.Until(started.Add(minWatchInterval)))
 	return nil
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -91,6 +91,7 @@
 		Node:        self,
 		Log:         g.log,
 		UpdateBound: time.Duration(g.settings.GetForwarding().GetNewsBoundMs()) * time.Millisecond,
+		History:     relay.NewHistoryClient(g.peers),
 		AnswerBound: revocationBound(g.settings.GetForwarding()),
 		Changed:     g.updateView,
 		Quarantined: func(f quarantine.Fingerprint) { g.forwarder.Refuse(f) },
--- a/node/relay/cluster_test.go
+++ b/node/relay/cluster_test.go
@@ -102,6 +102,10 @@
 
 func (n *node) MarkReliedOn() {}
 
+func (n *node) ReplicaChanges(uint64) (directory.ReplicaChanges, error) {
+	return directory.ReplicaChanges{}, directory.ErrHistoryUnknown
+}
+
 func (n *node) PollNow() { n.update(func() { n.polls++ }) }
 
 // ServeBatch answers for all replicas in n.answers in one message, or waits for ctx while
--- /dev/null
+++ b/node/relay/history.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"context"
+	"math"
+	"time"
+
+	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/api/peerv1"
+	"github.com/carobmill/carobmill/node/directory"
+	"github.com/carobmill/carobmill/node/peer"
+	"github.com/carobmill/carobmill/policy/coordinator"
+	"github.com/carobmill/carobmill/policy/registry"
+)
+
+// HistoryClient implements directory.History over the connections between nodes. Safe for
+// concurrent use.
+type HistoryClient struct{ pool *peer.Pool }
+
+var _ directory.History = HistoryClient{}
+
+// NewHistoryClient returns a client that uses the connections of a pool.
+func NewHistoryClient(pool *peer.Pool) HistoryClient { return HistoryClient{pool} }
+
+// ReplicaChanges implements directory.History.
+func (c HistoryClient) ReplicaChanges(ctx context.Context, from coordinator.Member, after uint64) (directory.ReplicaChanges, error) {
+	conn, err := c.pool.Connection(from.Address)
+	if err != nil {
+		return directory.ReplicaChanges{}, err
+	}
+	resp, err := peerv1.NewCoordinatorClient(conn).ReplicaChanges(ctx, &pb.ReplicaChangesRequest{After: after})
+	if err != nil {
+		return directory.ReplicaChanges{}, err
+	}
+	if resp.GetUnknown() || resp.GetRevision() <= after {
+		return directory.ReplicaChanges{}, directory.ErrHistoryUnknown
+	}
+	return decodeReplicaChanges(resp, time.Now()), nil
+}
+
+// ReplicaChanges implements peerv1.CoordinatorServer.
+func (s *Server) ReplicaChanges(_ context.Context, m *pb.ReplicaChangesRequest) (*pb.ReplicaChangesResponse, error) {
+	changes, err := s.opts.Directory.ReplicaChanges(m.GetAfter())
+	if err != nil {
+		return &pb.ReplicaChangesResponse{Unknown: true}, nil
+	}
+	return encodeReplicaChanges(&changes, time.Now()), nil
+}
+
+func encodeReplicaChanges(c *directory.ReplicaChanges, now time.Time) *pb.ReplicaChangesResponse {
+	m := &pb.ReplicaChangesResponse{Revision: c.Revision, Changes: make([]*pb.ReplicaChange, 0, len(c.Changes))}
+	for i := range c.Changes {
+		change := &c.Changes[i]
+		r := &change.Replica
+		p := &pb.ReplicaChange{Id: r.ID, Revision: change.Revision, Removed: change.Removed}
+		if !change.Removed {
+			p.Service, p.Address, p.DataCentre, p.Version = r.Service, r.Address, r.DataCentre, r.Version
+			p.Slots, p.Draining, p.Incarnation = uint32(max(r.Slots, 0)), r.Draining, r.Incarnation
+			p.ColdUs = microseconds(r.ColdUntil.Sub(now))
+		}
+		m.Changes = append(m.Changes, p)
+	}
+	return m
+}
+
+// decodeReplicaChanges decodes changes that arrived now.
+func decodeReplicaChanges(m *pb.ReplicaChangesResponse, now time.Time) directory.ReplicaChanges {
+	c := directory.ReplicaChanges{Revision: m.GetRevision()}
+	for _, p := range m.GetChanges() {
+		r := registry.Replica{
+			ID: p.GetId(), Service: p.GetService(), Address: p.GetAddress(), DataCentre: p.GetDataCentre(), Version: p.GetVersion(),
+			Slots: int(min(p.GetSlots(), math.MaxInt32)), Draining: p.GetDraining(), Incarnation: p.GetIncarnation(),
+		}
+		if cold := duration(p.GetColdUs()); cold > 0 {
+			r.ColdUntil = now.Add(cold)
+		}
+		c.Changes = append(c.Changes, registry.Change{Replica: r, Revision: p.GetRevision(), Removed: p.GetRemoved()})
+	}
+	return c
+}
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -44,6 +44,9 @@
 	PollNow()
 	// MarkReliedOn records that another node depends on this node's view.
 	MarkReliedOn()
+	// ReplicaChanges returns the changes of replicas after a revision, or an error if not all
+	// of them are known.
+	ReplicaChanges(after uint64) (directory.ReplicaChanges, error)
 	// Stale reports whether the store has not answered for some time.
 	Stale() bool
 }
--- a/policy/quota/limiter.go
+++ b/policy/quota/limiter.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"hash/fnv"
 	"slices"
 	"strings"
 	"time"
@@ -114,17 +113,11 @@
 func (l *Limiter) SetFleet(f coordinator.Fleet) {
 	l.share = 1 / f.SizeFor(l.own)
 	l.managers = l.managers[:0]
-	for _, m := range f.Members {
-		if m.Node != l.own.Node && ranksBefore(m, l.own) {
+	for _, m := range f.Ranked() {
+		if m.Node != l.own.Node && coordinator.RanksBefore(m, l.own) {
 			l.managers = append(l.managers, m)
 		}
 	}
-	slices.SortFunc(l.managers, func(a, b coordinator.Member) int {
-		if ranksBefore(a, b) {
-			return -1
-		}
-		return 1
-	})
 	for node := range l.failed {
 		if !slices.ContainsFunc(l.managers, func(m coordinator.Member) bool { return m.Node == node }) {
 			delete(l.failed, node)
@@ -132,22 +125,6 @@
 	}
 }
 
-func ranksBefore(a, b coordinator.Member) bool {
-	if a.Capacity != b.Capacity {
-		return a.Capacity > b.Capacity
-	}
-	if x, y := rankHash(a.Node), rankHash(b.Node); x != y {
-		return x < y
-	}
-	return strings.Compare(a.Node, b.Node) < 0
-}
-
-func rankHash(node string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(node))
-	return h.Sum64()
-}
-
 // Take decides about a request of an account. After Wait, the caller calls Take again when
 // Apply or Fail has been called, or gives the request up.
 func (l *Limiter) Take(now time.Time, name string, limit account.Cap) Verdict {
--- a/policy/registry/registry.go
+++ b/policy/registry/registry.go
@@ -100,6 +100,25 @@
 	return changed
 }
 
+// Change is the newest record of a replica, or its removal.
+type Change struct {
+	Replica  Replica
+	Revision uint64
+	Removed  bool
+}
+
+// ChangesAfter returns the records and removals after a revision. A vanished replica counts as
+// removed.
+func (t *Table) ChangesAfter(revision uint64) []Change {
+	var changes []Change
+	for _, e := range t.entries {
+		if e.revision > revision {
+			changes = append(changes, Change{Replica: e.replica, Revision: e.revision, Removed: e.removed || !e.expiresAt.IsZero()})
+		}
+	}
+	return changes
+}
+
 // Expire removes the vanished replicas whose grace period has ended.
 func (t *Table) Expire(now time.Time) (changed bool) {
 	for _, e := range t.entries {
