Spread the start of following the store over the nodes without a coordinator

Cause: a small node that had no usable coordinator read the whole store at its next request. On the whole fleet 925 such nodes are 50,000 calls and 4 GB at once, for a store of 16,000 calls and 1,000 Mbit a second: the coordinators could not read it either, and the fleet did not come back.

Change: coordinators report with each heartbeat how many calls a full read took and how many nodes send to them. A node without a coordinator waits for its place in the time in which all of them together use a quarter of the store's calls, and refuses until then. A time under one second is not waited.

Conclusion: the bound holds at any size by construction; at the fleet's size the last node waits 12.5 s, at twice the size 50 s.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -51,6 +51,8 @@
 	unansweredSince atomic.Pointer[time.Time]
 	// lastAnswer is the time of the store's last answer; nil before the first one.
 	lastAnswer atomic.Pointer[time.Time]
+	// readPages is the number of calls of the last full read.
+	readPages atomic.Int64
 	// reliedOn is the time of the last MarkReliedOn; nil before the first one.
 	reliedOn atomic.Pointer[time.Time]
 	// pollNow is signalled to end the pause between two watches.
@@ -109,6 +111,9 @@
 // hold no configuration yet.
 func (d *Directory) Synced() bool { return d.synced.Load() }
 
+// ReadPages returns the number of calls of the last full read of the store, 0 before it.
+func (d *Directory) ReadPages() int { return int(d.readPages.Load()) }
+
 // Stale reports whether the store has not answered for so long that updates may be missing.
 func (d *Directory) Stale() bool {
 	since := d.unansweredSince.Load()
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -205,8 +205,10 @@
 		Local:      g.forwarder,
 		Registered: g.directory.RegisteredNodes,
 		Leaving:    g.stopping.Load,
-		Log:        g.log,
-		Record:     g.recordRelayed,
+
+		ReadsPerSecond: g.settings.GetForwarding().GetStoreReadsPerS(),
+		Log:            g.log,
+		Record:         g.recordRelayed,
 	})
 	g.peerServer = relay.NewServer(relay.ServerOptions{
 		Directory: g.directory,
--- a/node/relay/cluster_test.go
+++ b/node/relay/cluster_test.go
@@ -102,6 +102,8 @@
 
 func (n *node) MarkReliedOn() {}
 
+func (n *node) ReadPages() int { return 1 }
+
 func (n *node) ReplicaChanges(uint64) (directory.ReplicaChanges, error) {
 	return directory.ReplicaChanges{}, directory.ErrHistoryUnknown
 }
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -153,9 +153,23 @@
 		// senders learn early that it can serve.
 		work.Sleep(ctx, retryInterval)
 	}
+	r.recordStoreLoad(resp)
 	r.updateFleet(decodeFleet(resp))
 }
 
+// recordStoreLoad records what a coordinator reports about the store. One that has not read
+// the store reports nothing.
+func (r *Relay) recordStoreLoad(resp *pb.HeartbeatResponse) {
+	if resp.GetStorePages() == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeLoad = coordinator.StoreLoad{
+		Pages: int(resp.GetStorePages()), Senders: int(resp.GetSenders()), ReadsPerSecond: r.opts.ReadsPerSecond,
+	}
+}
+
 func (r *Relay) callHeartbeat(ctx context.Context, to coordinator.Member, wait, timeout time.Duration) (*pb.HeartbeatResponse, error) {
 	conn, err := r.opts.Pool.Connection(to.Address)
 	if err != nil {
@@ -232,7 +246,7 @@
 	switch {
 	case s.current && elapsed >= unfollowDelay && !r.opts.Leaving():
 		r.setFollowing(false)
-	case s.current || elapsed < followDelay || now.Sub(s.probedAt) < storeProbeInterval || r.opts.Directory.Synced():
+	case s.current || elapsed < followDelay+r.followStagger() || now.Sub(s.probedAt) < storeProbeInterval || r.opts.Directory.Synced():
 	default:
 		s.probedAt = now
 		if !r.readRegisteredNodes(ctx) {
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,9 @@
 	Local  LocalForwarder
 	// Registered reads the registered nodes from the store.
 	Registered func(ctx context.Context) (coordinator.Fleet, error)
+	// ReadsPerSecond is the rate of reading calls that the store accepts from the fleet; 0 for
+	// any.
+	ReadsPerSecond float64
 	// Leaving reports whether the node is shutting down.
 	Leaving func() bool
 	Log     logrus.FieldLogger
@@ -65,6 +69,8 @@
 	// maxBodyBytes is the limit of request bodies that a coordinator reported last; 0 for
 	// none.
 	maxBodyBytes atomic.Int64
+	// followOffset, 0 to 1, is this node's place among those that turn to the store.
+	followOffset float64
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -75,6 +81,8 @@
 	// version is the newest configuration version of an answer. A later request must not be
 	// answered with an older one.
 	version uint64
+	// storeLoad is what a coordinator reported last.
+	storeLoad coordinator.StoreLoad
 	// deliveryDelay estimates how long coordinators' answers are in transit.
 	deliveryDelay gather.DeliveryDelay
 	// inFlight holds the requests in flight by coordinator name.
@@ -84,9 +92,11 @@
 // New returns a relay without coordinators.
 func New(o Options) *Relay {
 	return &Relay{
-		opts:     o,
-		table:    coordinator.NewTable(o.Self),
-		inFlight: make(map[string]map[*relayedCall]bool),
+		opts:  o,
+		table: coordinator.NewTable(o.Self),
+
+		followOffset: rand.Float64(),
+		inFlight:     make(map[string]map[*relayedCall]bool),
 	}
 }
 
@@ -161,6 +171,25 @@
 	r.opts.Follow(on)
 }
 
+// mayFollow reports whether this node may follow the store: it does already, or its turn
+// among the nodes without a coordinator has come.
+func (r *Relay) mayFollow() bool {
+	r.mu.Lock()
+	following, last := !r.followingSince.IsZero(), r.table.LastHeartbeat()
+	if last.Before(r.started) {
+		last = r.started
+	}
+	r.mu.Unlock()
+	return following || time.Since(last) >= r.followStagger()
+}
+
+// followStagger returns this node's place in the time over which nodes turn to the store.
+func (r *Relay) followStagger() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(r.followOffset * float64(r.table.FollowSpread(r.storeLoad, heartbeatPeers)))
+}
+
 // configurationMayArrive reports whether to wait for a first configuration.
 func (r *Relay) configurationMayArrive() bool {
 	r.mu.Lock()
@@ -271,6 +300,9 @@
 // serveLocally answers a request from this node. It first waits for a configuration that is
 // at least as new as that of any earlier answer.
 func (r *Relay) serveLocally(ctx context.Context, req *forward.Request) forward.Answer {
+	if !r.mayFollow() {
+		return r.refuse(req)
+	}
 	r.setFollowing(true)
 	minVersion := r.minVersion()
 	for waitingSince := time.Now(); ; work.Sleep(ctx, pollInterval) {
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -47,6 +47,8 @@
 	// ReplicaChanges returns the changes of replicas after a revision, or an error if not all
 	// of them are known.
 	ReplicaChanges(after uint64) (directory.ReplicaChanges, error)
+	// ReadPages returns the number of calls of the last full read of the store.
+	ReadPages() int
 	// Stale reports whether the store has not answered for some time.
 	Stale() bool
 }
@@ -86,6 +88,7 @@
 	peerv1.UnimplementedCoordinatorServer
 	opts     ServerOptions
 	notifier *stateNotifier
+	senders  senders
 }
 
 // NewServer returns a gRPC server with a Server registered. With nil creds it uses plain
@@ -179,6 +182,8 @@
 		Stale:         current.condition.Stale,
 		Isolated:      current.condition.Isolated,
 		FleetRevision: current.fleetRevision,
+		StorePages:    uint32(s.opts.Directory.ReadPages()),
+		Senders:       uint32(s.senders.record(time.Now(), m.GetNode())),
 	}
 	if v := s.opts.Directory.View(); v != nil {
 		resp.MaxBodyBytes = uint64(max(v.Index.Limits.MaxBodyBytes, 0))
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -39,6 +39,7 @@
 	DefaultNewsBoundMs     = 5000
 	DefaultRollbackBoundMs = 5000
 
+	DefaultStoreReadsPerS    = 2000
 	DefaultQuotaWindowS      = 5
 	DefaultRevocationBoundMs = 5000
 	// DefaultExposureRatio and DefaultExposureSlack apply together. Without any exposure, a
@@ -133,6 +134,9 @@
 	f.NewsBoundMs = orDefault(f.NewsBoundMs, DefaultNewsBoundMs)
 	f.RollbackBoundMs = orDefault(f.RollbackBoundMs, DefaultRollbackBoundMs)
 	f.RevocationBoundMs = orDefault(f.RevocationBoundMs, DefaultRevocationBoundMs)
+	if f.StoreReadsPerS == 0 {
+		f.StoreReadsPerS = DefaultStoreReadsPerS
+	}
 	if f.QuotaWindowS == 0 {
 		f.QuotaWindowS = DefaultQuotaWindowS
 	}
