--- a/node/directory/watch.go
+++ b/node/directory/watch.go
@@ -17,9 +17,11 @@
 	// receive updates again after such a loss.
 	maxWatchWait       = 3 * time.Second
 	watchTimeoutMargin = 600 * time.Millisecond
-	// minWatchInterval is the least time between the starts of two watches. It lets one
-	// answer carry several changes and bounds the rate of calls.
+	// minWatchInterval and maxWatchInterval bound the least time between the starts of two
+	// watches, which is a quarter of Options.UpdateBound. It lets one answer carry several
+	// changes and bounds the rate of calls.
 	minWatchInterval = time.Second
+	maxWatchInterval = 2 * time.Second
 	// minBackoff and maxBackoff bound the backoff after a failed call, before jitter.
 	// Without jitter all nodes call a recovered store at the same moment.
 	minBackoff = 100 * time.Millisecond
@@ -66,10 +68,15 @@
 	}
 	d.setRevision(page.Revision)
 	d.publish(changed)
-	d.pause(ctx, time.Until(started.Add(minWatchInterval)))
+	d.pause(ctx, time.Until(started.Add(d.watchInterval())))
 	return nil
 }
 
+// watchInterval returns the least time between the starts of two watches.
+func (d *Directory) watchInterval() time.Duration {
+	return min(max(d.opts.UpdateBound/4, minWatchInterval), maxWatchInterval)
+}
+
 func (d *Directory) nextChanges(ctx context.Context) (Page, error) {
 	wait := maxWatchWait
 	if d.failing {
