Reserve time for the transfer of large answers, and learn delays from all senders

The signatures of 90 shards are 3.3 KB: 1.6 ms on the 20 Mbit link of a small VM, which grows with the shards and was in no reserve.

Change: a node reserves the time that the route's recent answers need on the link of the node that sends them to the caller (setting link_mbps). Heartbeats report the longest delay of an answer, and a coordinator uses what all its senders report where a sender's own estimate is shorter.

Measured: gather.TestLargeAnswersArriveInTimeOverSlowLinks (10 to 270 shards).

--- a/node/forward/answer.go
+++ b/node/forward/answer.go
@@ -59,6 +59,7 @@
 	}
 	bodies = append(bodies, q.mergedRecords...)
 	a.Body = gather.Greatest(bodies, q.route.TopRecords)
+	q.class.observeAnswer(&a)
 	return a
 }
 
--- a/node/forward/class.go
+++ b/node/forward/class.go
@@ -15,6 +15,7 @@
 	// mu guards the fields below.
 	mu        sync.Mutex
 	latencies hedge.Quantile
+	answers   gather.AnswerSize
 	splitter  *route.Splitter
 	split     []route.Weighted
 }
@@ -68,6 +69,20 @@
 	c.latencies.Observe(took)
 }
 
+// observeAnswer records a merged answer.
+func (c *class) observeAnswer(a *Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers.Observe(len(a.Body), a.Signatures)
+}
+
+// transferTime returns the time that the next answer needs on a network link.
+func (c *class) transferTime(bytesPerSecond float64) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answers.TransferTime(bytesPerSecond)
+}
+
 // hedgeDelay returns how long attempts may be in flight before they are hedged.
 func (c *class) hedgeDelay(objective time.Duration) gather.HedgeDelay {
 	c.mu.Lock()
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -49,6 +49,12 @@
 	// gathering node: transit between the caller and its node, and of the answer through
 	// other nodes; 0 when unknown.
 	TransitReserve time.Duration
+	// DeliveryDelay is the part of TransitReserve that the node which received the request
+	// estimates for an answer's way from the gathering node to it.
+	DeliveryDelay time.Duration
+	// LinkBytesPerSecond is what the network link of the node that received the request
+	// transfers; 0 when unknown.
+	LinkBytesPerSecond float64
 }
 
 // Outcome is how a request ended.
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -101,7 +101,7 @@
 		minCoverage = r.MinCoverage
 	}
 	attempts := max(r.MaxAttempts, 1)
-	q.objective = gather.AnswerDeadline(r.Objective, req.TransitReserve)
+	q.objective = gather.AnswerDeadline(r.Objective, req.reserve(c))
 	q.hedgeDelay = c.hedgeDelay(q.objective)
 	q.query = gather.New(gather.Params{
 		Shards:      n,
@@ -118,6 +118,14 @@
 	return q
 }
 
+// reserve returns the part of the objective that the answer needs on its way; 0 if unknown.
+func (r *Request) reserve(c *class) time.Duration {
+	if r.TransitReserve <= 0 {
+		return 0
+	}
+	return r.TransitReserve + c.transferTime(r.LinkBytesPerSecond)
+}
+
 // maxUncountedAttempts is the number of attempts of a shard up to which an attempt that
 // reached another replica, or none, does not count towards the route's MaxAttempts.
 const maxUncountedAttempts = 4
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -153,9 +153,13 @@
 	g.metrics.Query(q)
 }
 
+// bytesPerMegabit converts Mbit to bytes.
+const bytesPerMegabit = 1e6 / 8
+
 // Serve implements Service.
 func (g *Gateway) Serve(ctx context.Context, req *forward.Request) forward.Answer {
 	req.TransitReserve = transitReserve(ctx)
+	req.LinkBytesPerSecond = g.settings.GetForwarding().GetLinkMbps() * bytesPerMegabit
 	a := g.relay.Serve(ctx, req)
 	if a.Outcome == forward.NotRun {
 		a.RetryAfter = max(a.RetryAfter, g.balancerDelay(time.Now()))
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -182,6 +182,7 @@
 	r.mu.Unlock()
 	return peerv1.NewCoordinatorClient(conn).Heartbeat(ctx, &pb.HeartbeatRequest{
 		Node: r.opts.Self.Node, FleetRevision: revision, WaitMs: uint64(wait.Milliseconds()),
+		DeliveryUs: microseconds(r.takeLongestDelivery()),
 	})
 }
 
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -83,8 +83,10 @@
 	version uint64
 	// storeLoad is what a coordinator reported last.
 	storeLoad coordinator.StoreLoad
-	// deliveryDelay estimates how long coordinators' answers are in transit.
-	deliveryDelay gather.DeliveryDelay
+	// deliveryDelay estimates how long coordinators' answers are in transit, and
+	// longestDelivery is the longest delay that no heartbeat has reported yet.
+	deliveryDelay   gather.DeliveryDelay
+	longestDelivery time.Duration
 	// inFlight holds the requests in flight by coordinator name.
 	inFlight map[string]map[*relayedCall]bool
 }
@@ -276,7 +278,18 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.deliveryDelay.Observe(time.Since(req.Arrived) - a.Due)
+	sample := time.Since(req.Arrived) - a.Due
+	r.deliveryDelay.Observe(sample)
+	r.longestDelivery = max(r.longestDelivery, sample)
+}
+
+// takeLongestDelivery returns the longest delay since the last call; 0 without an answer.
+func (r *Relay) takeLongestDelivery() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	longest := r.longestDelivery
+	r.longestDelivery = 0
+	return longest
 }
 
 func (r *Relay) recordOffer(node string, after time.Duration) {
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -89,6 +89,7 @@
 	opts     ServerOptions
 	notifier *stateNotifier
 	senders  senders
+	delivery deliveryDelays
 }
 
 // NewServer returns a gRPC server with a Server registered. With nil creds it uses plain
@@ -125,7 +126,9 @@
 	if message, err := stream.Recv(); err != nil || !message.GetBegin() {
 		return err
 	}
-	answer := s.opts.Local.Serve(stream.Context(), decodeRelayRequest(m, now))
+	req := decodeRelayRequest(m, now)
+	s.delivery.apply(req)
+	answer := s.opts.Local.Serve(stream.Context(), req)
 	if answer.Outcome == forward.NotRun && s.opts.Local.Isolated() {
 		return stream.Send(refusalResponse(pb.RelayRefusal_RELAY_REFUSAL_ISOLATED))
 	}
@@ -170,6 +173,7 @@
 // Heartbeat implements peerv1.CoordinatorServer.
 func (s *Server) Heartbeat(ctx context.Context, m *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
 	s.opts.Directory.MarkReliedOn()
+	s.delivery.observe(duration(m.GetDeliveryUs()))
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(m.GetWaitMs())*time.Millisecond, maxHeartbeatWait))
 	defer cancel()
 	current := s.currentState()
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -20,6 +20,8 @@
 	m := encodeRequest(req)
 	m.LeastVersion = minVersion
 	m.ReserveUs = microseconds(reserve)
+	m.DeliveryUs = microseconds(reserve - req.TransitReserve)
+	m.LinkBytesPerS = uint64(max(req.LinkBytesPerSecond, 0))
 	m.Credentials = encodeStrings(req.Credentials)
 	return &pb.RelayMessage{Event: &pb.RelayMessage_Request{Request: m}}
 }
@@ -70,6 +72,9 @@
 		Arrived:        now.Add(-duration(m.GetElapsedUs())),
 		CallerTimeout:  duration(m.GetPatienceUs()),
 		TransitReserve: duration(m.GetReserveUs()),
+		DeliveryDelay:  duration(m.GetDeliveryUs()),
+
+		LinkBytesPerSecond: float64(m.GetLinkBytesPerS()),
 	}
 }
 
--- a/policy/gather/reserve.go
+++ b/policy/gather/reserve.go
@@ -42,6 +42,41 @@
 	return d.estimate
 }
 
+const (
+	// answerSizeWeight is the EWMA weight of a new answer's size.
+	answerSizeWeight = 0.1
+	// answerOverhead is the size of an answer's other headers, and signatureOverhead that of
+	// a separator.
+	answerOverhead    = 200
+	signatureOverhead = 2
+)
+
+// AnswerSize estimates the size of the merged answers of a route: with the signatures of
+// hundreds of shards, they take milliseconds on a slow network link. Not safe for concurrent
+// use.
+type AnswerSize struct{ bytes float64 }
+
+// Observe records an answer.
+func (s *AnswerSize) Observe(body int, signatures []string) {
+	size := float64(answerOverhead + body)
+	for _, signature := range signatures {
+		size += float64(len(signature) + signatureOverhead)
+	}
+	if s.bytes == 0 {
+		s.bytes = size
+		return
+	}
+	s.bytes += answerSizeWeight * (size - s.bytes)
+}
+
+// TransferTime returns the time that an answer needs on a link; 0 if either is unknown.
+func (s *AnswerSize) TransferTime(bytesPerSecond float64) time.Duration {
+	if bytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(s.bytes / bytesPerSecond * float64(time.Second))
+}
+
 // AnswerDeadline returns when an answer must be returned to reach its caller within the
 // objective, if the transfer needs reserve.
 func AnswerDeadline(objective, reserve time.Duration) time.Duration {
--- a/policy/gather/reserve_test.go
+++ b/policy/gather/reserve_test.go
@@ -49,3 +49,34 @@
 	c.Assert(gather.AnswerDeadline(100*ms, 0), qt.Equals, 88*ms)
 	c.Assert(gather.AnswerDeadline(0, 20*ms), qt.Equals, time.Duration(0))
 }
+
+// Guards against answers that are returned at the objective and reach their callers after it,
+// because the signatures of many shards take milliseconds on a slow link.
+func TestLargeAnswersArriveInTimeOverSlowLinks(t *testing.T) {
+	c := qt.New(t)
+	const objective, transit = 60 * ms, 15 * ms
+	for _, test := range []struct {
+		shards int
+		mbps   float64
+	}{{10, 1000}, {90, 20}, {135, 20}, {270, 20}} {
+		signatures := make([]string, test.shards)
+		for i := range signatures {
+			signatures[i] = "3e1b.07.5a2.600.0.c9f2a4d1.6f3e8a12"
+		}
+		size := 500
+		for _, signature := range signatures {
+			size += len(signature) + 2
+		}
+		onLink := time.Duration(float64(size) * 8 / (test.mbps * 1e6) * float64(time.Second))
+		var answers gather.AnswerSize
+		for range 20 {
+			answers.Observe(320, signatures)
+		}
+		reserve := transit + answers.TransferTime(test.mbps*1e6/8)
+		arrives := gather.AnswerDeadline(objective, reserve) + transit + onLink
+		c.Check(arrives <= objective, qt.IsTrue, qt.Commentf("%+v: arrives at %v", test, arrives))
+		c.Check(arrives > objective-ms, qt.IsTrue, qt.Commentf("%+v: arrives at %v", test, arrives))
+	}
+	var unknown gather.AnswerSize
+	c.Assert(unknown.TransferTime(1e6), qt.Equals, time.Duration(0))
+}
