--- a/node/directory/history.go
+++ b/node/directory/history.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,7 +21,8 @@
 	// minReadPages is the length of a full read from which nodes ask others instead.
 	minReadPages = 8
 	// historyPatience is how long a node asks others before it reads the whole store itself,
-	// and the time over which such reads are spread.
+	// and the time over which such reads are spread. A quarter of Options.UpdateBound limits
+	// it, as it does maxReadSpacing.
 	historyPatience = 3 * time.Second
 	// historyTimeout bounds a question to another node, and historyRetry is the average time
 	// between two questions.
@@ -69,13 +71,23 @@
 	// nextRead is when the next full read may begin, and pages the length of the last one.
 	nextRead time.Time
 	pages    int
-	asked    int
+	// asked is the number of questions to other nodes since the loss.
+	asked int
 }
 
-func (r *resync) readEnded(took time.Duration, pages int) {
-	r.nextRead = time.Now().Add(min(readSpacing*took, maxReadSpacing))
-	r.pages = pages
-	r.asked = 0
+// withinBound limits a delay to a part of the time within which updates must take effect.
+func (d *Directory) withinBound(delay time.Duration) time.Duration {
+	if d.opts.UpdateBound > 0 {
+		return min(delay, d.opts.UpdateBound/4)
+	}
+	return delay
+}
+
+// readEnded records a full read.
+func (d *Directory) readEnded(r *fullRead) {
+	spacing := d.withinBound(min(readSpacing*time.Since(r.began), maxReadSpacing))
+	d.resync = resync{nextRead: time.Now().Add(spacing), pages: r.pages}
+	d.readPages.Store(int64(r.pages))
 }
 
 // refresh learns the changes whose history the store has lost: from another node if the store
@@ -98,7 +110,8 @@
 		return coordinator.Member{}, false
 	}
 	if r.asked == 0 {
-		r.patience = historyPatience + rand.N(historyPatience)
+		patience := d.withinBound(historyPatience)
+		r.patience = patience + rand.N(patience)
 	}
 	ranked := d.Fleet().Ranked()
 	readers := ranked[:min(fullReaders, len(ranked))]
@@ -115,8 +128,8 @@
 		return readers[r.asked/2%len(readers)], true
 	}
 	// Nodes that have asked a reader know the changes too.
-	other := ranked[rand.IntN(len(ranked))]
-	return other, other.Node != d.opts.Node.Node
+	others := slices.DeleteFunc(ranked, func(m coordinator.Member) bool { return m.Node == d.opts.Node.Node })
+	return others[rand.IntN(len(others))], true
 }
 
 // refreshFrom learns the changes of replicas from another node and reads the other areas,
@@ -141,7 +154,7 @@
 	d.setRevision(min(changes.Revision, others.Revision))
 	d.outdated = false
 	d.resync.asked = 0
-	d.resync.nextRead = time.Now().Add(maxReadSpacing)
+	d.resync.nextRead = time.Now().Add(d.withinBound(maxReadSpacing))
 	d.opts.Log.WithFields(logrus.Fields{
 		"from": from.Node, "revision": d.state.revision, "changes": len(changes.Changes),
 		"took_ms": time.Since(d.resync.began).Milliseconds(),
--- a/node/directory/read.go
+++ b/node/directory/read.go
@@ -44,8 +44,7 @@
 		d.applyPage(r, &page)
 	}
 	d.reading, d.outdated = nil, false
-	d.resync.readEnded(time.Since(r.began), r.pages)
-	d.readPages.Store(int64(r.pages))
+	d.readEnded(r)
 	d.endRead(r)
 	d.opts.Log.WithFields(logrus.Fields{
 		"revision": r.first, "replicas": d.state.replicas.Len(), "took_ms": time.Since(r.began).Milliseconds(),
--- a/node/gateway/conn_test.go
+++ b/node/gateway/conn_test.go
@@ -12,7 +12,9 @@
 // milliseconds to read a request and write its answer.
 func TestTransitReserveGrowsOnSmallVMs(t *testing.T) {
 	c := qt.New(t)
-	reserve := func(cores float64) time.Duration { return transitReserve(context.Background(), cores) - defaultRoundTrip }
+	reserve := func(cores float64) time.Duration {
+		return transitReserve(context.Background(), cores) - defaultRoundTrip
+	}
 	c.Assert(reserve(0.8), qt.Equals, 2*time.Millisecond)
 	c.Assert(reserve(0.4), qt.Equals, 2*time.Millisecond)
 	c.Assert(reserve(0.2), qt.Equals, 4*time.Millisecond)
