Leave half of a retry budget to the other accounts

Cause: the budget for retries and hedges of a service is used in order of arrival. An account that sends many times its usual requests left the others without retries.

Change: while others send requests, one account may use half of the budget.

Deployments without accounts are unchanged.

--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -55,7 +55,7 @@
 	switch {
 	case st == nil:
 		denied = deniedNoReplica
-	case extra && !s.takeBudget(now, size, request.Optional || q.query.Dispensable(i)):
+	case extra && !s.takeBudget(now, size, request.Optional || q.query.Dispensable(i), q.req.Account):
 		denied = deniedNoBudget
 	}
 	if denied != "" {
@@ -144,11 +144,11 @@
 
 // takeBudget takes one request from the service's retry budget and reports whether the
 // budget allows it. The caller holds s.mu.
-func (s *service) takeBudget(now time.Time, size float64, optional bool) bool {
+func (s *service) takeBudget(now time.Time, size float64, optional bool, account string) bool {
 	if optional {
-		return s.budget.TakeOptional(now, size)
+		return s.budget.TakeOptional(now, size, account)
 	}
-	return s.budget.Take(now, size)
+	return s.budget.Take(now, size, account)
 }
 
 // optionalBudgetUsed returns the used share of the service's budget for optional requests.
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -168,7 +168,7 @@
 		s := q.f.service(name)
 		q.services[i] = s
 		s.mu.Lock()
-		s.budget.RecordRequest(now)
+		s.budget.RecordRequest(now, q.req.Account)
 		s.mu.Unlock()
 	}
 }
--- a/policy/gather/hedge_test.go
+++ b/policy/gather/hedge_test.go
@@ -64,7 +64,7 @@
 	stalledCount, hedgedCount := 0, 0
 	for i := range requests {
 		now := start.Add(time.Duration(i) * interval)
-		budget.RecordRequest(now)
+		budget.RecordRequest(now, "")
 		took := 12 * ms
 		stalled := false
 		switch p := rng.Float64(); {
@@ -77,7 +77,7 @@
 		if stalled && warm {
 			stalledCount++
 		}
-		if took <= hedgeDelay.After(budget.OptionalUsed(now, 1)) || !budget.TakeOptional(now, 1) {
+		if took <= hedgeDelay.After(budget.OptionalUsed(now, 1)) || !budget.TakeOptional(now, 1, "") {
 			continue
 		}
 		if stalled && warm {
--- a/policy/retrybudget/retrybudget.go
+++ b/policy/retrybudget/retrybudget.go
@@ -46,6 +46,7 @@
 	last     int64
 	requests [bucketCount + 1]int
 	extras   [bucketCount + 1]int
+	accounts accounts
 }
 
 // New returns the budget of a node that starts now.
@@ -53,18 +54,22 @@
 	return &Budget{bound: b, started: now}
 }
 
-// RecordRequest counts one request of a caller to the service.
-func (b *Budget) RecordRequest(now time.Time) {
+// RecordRequest counts one request of a caller to the service. account is the caller's client
+// account; empty without one.
+func (b *Budget) RecordRequest(now time.Time, account string) {
 	b.requests[b.advance(now)]++
+	b.accounts.recordRequest(now, account)
 }
 
 // Take reports whether one more extra request may be sent, and counts it if so. size is
 // the size of the fleet in units of this node's capacity, by which the slack is divided.
-func (b *Budget) Take(now time.Time, size float64) bool { return b.take(now, size, 1) }
+func (b *Budget) Take(now time.Time, size float64, account string) bool {
+	return b.take(now, size, 1, account)
+}
 
 // TakeOptional is Take for an optional request, such as a hedge.
-func (b *Budget) TakeOptional(now time.Time, size float64) bool {
-	return b.take(now, size, optionalShare)
+func (b *Budget) TakeOptional(now time.Time, size float64, account string) bool {
+	return b.take(now, size, optionalShare, account)
 }
 
 // OptionalUsed returns the fraction, 0 to 1, of the budget for TakeOptional that hedges
@@ -77,12 +82,14 @@
 	return min(1, float64(b.spent())/granted)
 }
 
-func (b *Budget) take(now time.Time, size, share float64) bool {
+func (b *Budget) take(now time.Time, size, share float64, account string) bool {
 	i := b.advance(now)
-	if float64(b.spent()+1) > share*b.allowed(now, i, size) {
+	budget := share * b.allowed(now, i, size)
+	if float64(b.spent()+1) > budget || !b.accounts.allows(now, account, b.bound.Window, budget) {
 		return false
 	}
 	b.extras[i]++
+	b.accounts.recordExtra(now, account, b.bound.Window)
 	return true
 }
 
--- a/policy/retrybudget/retrybudget_test.go
+++ b/policy/retrybudget/retrybudget_test.go
@@ -25,9 +25,9 @@
 	var requests, extras []time.Time
 	for at := start; at.Before(start.Add(60 * time.Second)); at = at.Add(time.Duration(rng.ExpFloat64() * float64(5*time.Millisecond))) {
 		b := budgets[rng.IntN(nodes)]
-		b.RecordRequest(at)
+		b.RecordRequest(at, "")
 		requests = append(requests, at)
-		if b.Take(at, nodes) {
+		if b.Take(at, nodes, "") {
 			extras = append(extras, at)
 		}
 	}
@@ -49,3 +49,48 @@
 	}
 	return n
 }
+
+// Guards against accounts that are left without retries because one account sends many times
+// its usual requests and uses up the budget.
+func TestHotAccountLeavesRetriesToOthers(t *testing.T) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(3, 4))
+	start := time.Unix(1000, 0)
+	b := retrybudget.New(retrybudget.Bound{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, start)
+	asked, denied := make(map[string]int), make(map[string]int)
+	for at := start; at.Before(start.Add(time.Minute)); at = at.Add(time.Duration(rng.ExpFloat64() * float64(15*time.Millisecond))) {
+		account := "hot"
+		if rng.IntN(8) == 0 {
+			account = []string{"a", "b", "c"}[rng.IntN(3)]
+		}
+		b.RecordRequest(at, account)
+		if rng.Float64() > 0.4 {
+			continue
+		}
+		asked[account]++
+		if !b.Take(at, 1, account) {
+			denied[account]++
+		}
+	}
+	for _, account := range []string{"a", "b", "c"} {
+		c.Check(denied[account]*20 <= asked[account], qt.IsTrue, qt.Commentf("%s: %d of %d retries denied", account, denied[account], asked[account]))
+	}
+	c.Check(denied["hot"] > asked["hot"]/4, qt.IsTrue, qt.Commentf("%d of %d retries of the hot account denied", denied["hot"], asked["hot"]))
+}
+
+// Guards against an account that may not use the budget of a service that it has to itself.
+func TestSingleAccountUsesTheWholeBudget(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	taken := make(map[string]int)
+	for _, account := range []string{"", "only"} {
+		b := retrybudget.New(retrybudget.Bound{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, start)
+		now := start.Add(10 * time.Second)
+		b.RecordRequest(now, account)
+		for b.Take(now, 1, account) {
+			taken[account]++
+		}
+	}
+	c.Assert(taken["only"], qt.Equals, taken[""])
+	c.Assert(taken[""] > 10, qt.IsTrue)
+}
