Share full reads and space watches by the size of fleet and store

Change: nodes ask others where full reads of all of them are a tenth of the calls that the store accepts in a second; else they read at once, as before. The watch interval grows from 1 s with the number of nodes, so that all begin 30 a second, up to a quarter of the update bound.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -28,6 +28,8 @@
 	// AnswerBound is the time within which the store must answer for this node's view to stay
 	// in use; 0 for no bound.
 	AnswerBound time.Duration
+	// ReadsPerSecond is the rate of reading calls that the store accepts from the fleet.
+	ReadsPerSecond float64
 	// History asks other nodes for changes whose history the store has lost; may be nil.
 	History History
 	// Changed is called with each new view, one call at a time; may be nil.
--- a/node/directory/history.go
+++ b/node/directory/history.go
@@ -18,8 +18,9 @@
 	// fullReaders is the number of nodes that read the whole store again when its history is
 	// lost. The others ask them for what has changed.
 	fullReaders = 2
-	// minReadPages is the length of a full read from which nodes ask others instead.
-	minReadPages = 8
+	// sharedReadCalls is the part of the calls that the store accepts in a second from which
+	// full reads of all nodes are too many, so that nodes ask others instead.
+	sharedReadCalls = 0.1
 	// historyPatience is how long a node asks others before it reads the whole store itself,
 	// and the time over which such reads are spread. A quarter of Options.UpdateBound limits
 	// it, as it does maxReadSpacing.
@@ -28,9 +29,9 @@
 	// between two questions.
 	historyTimeout = 400 * time.Millisecond
 	historyRetry   = 300 * time.Millisecond
-	// After a full read, the next one may begin once readSpacing times its duration has
-	// passed, maxReadSpacing at most, so that a store that loses its history all the time is
-	// not read all the time.
+	// Where nodes ask others, the next full read may begin once readSpacing times the duration
+	// of the last one has passed, maxReadSpacing at most, so that a store that loses its
+	// history all the time is not read all the time.
 	readSpacing    = 10
 	maxReadSpacing = 2 * time.Second
 )
@@ -68,9 +69,8 @@
 	// began is when the loss was found, and patience how long the node asks others.
 	began    time.Time
 	patience time.Duration
-	// nextRead is when the next full read may begin, and pages the length of the last one.
+	// nextRead is when the next full read may begin.
 	nextRead time.Time
-	pages    int
 	// asked is the number of questions to other nodes since the loss.
 	asked int
 }
@@ -86,14 +86,21 @@
 // readEnded records a full read.
 func (d *Directory) readEnded(r *fullRead) {
 	spacing := d.withinBound(min(readSpacing*time.Since(r.began), maxReadSpacing))
-	d.resync = resync{nextRead: time.Now().Add(spacing), pages: r.pages}
+	d.resync = resync{nextRead: time.Now().Add(spacing)}
 	d.readPages.Store(int64(r.pages))
 }
 
-// refresh learns the changes whose history the store has lost: from another node if the store
-// is large, else by a full read.
+// sharesReads reports whether full reads of all nodes would take too many of the store's
+// calls.
+func (d *Directory) sharesReads() bool {
+	calls := float64(len(d.Fleet().Members) * d.ReadPages())
+	return d.opts.History != nil && calls >= sharedReadCalls*d.opts.ReadsPerSecond
+}
+
+// refresh learns the changes whose history the store has lost: from another node if full reads
+// of all nodes are too many, else by a full read.
 func (d *Directory) refresh(ctx context.Context) error {
-	if d.reading == nil {
+	if d.reading == nil && d.sharesReads() {
 		work.Sleep(ctx, time.Until(d.resync.nextRead))
 		if from, ok := d.historySource(); ok {
 			return d.refreshFrom(ctx, from)
@@ -106,9 +113,6 @@
 // whole store itself.
 func (d *Directory) historySource() (coordinator.Member, bool) {
 	r := &d.resync
-	if d.opts.History == nil || r.pages < minReadPages {
-		return coordinator.Member{}, false
-	}
 	if r.asked == 0 {
 		patience := d.withinBound(historyPatience)
 		r.patience = patience + rand.N(patience)
--- a/node/directory/history_test.go
+++ b/node/directory/history_test.go
@@ -91,7 +91,7 @@
 	}
 	for i := range n {
 		m := coordinator.Member{Node: fmt.Sprintf("n%d", i), Capacity: 1}
-		fleet[m.Node] = followAs(t, directory.Options{Store: s, Node: m, UpdateBound: updateBound, History: fleet})
+		fleet[m.Node] = followAs(t, directory.Options{Store: s, Node: m, UpdateBound: updateBound, History: fleet, ReadsPerSecond: 1000})
 	}
 	return fleet
 }
@@ -144,7 +144,7 @@
 			d.Follow(false)
 		}
 		m := coordinator.Member{Node: "alone", Capacity: 0.1}
-		d := followAs(t, directory.Options{Store: s, Node: m, UpdateBound: updateBound, History: fleet})
+		d := followAs(t, directory.Options{Store: s, Node: m, UpdateBound: updateBound, History: fleet, ReadsPerSecond: 1000})
 		time.Sleep(5 * time.Second)
 		s.put(removedRecord("r00001"))
 		s.set(func() { s.compactedBefore = s.revision })
--- a/node/directory/watch.go
+++ b/node/directory/watch.go
@@ -17,11 +17,12 @@
 	// receive updates again after such a loss.
 	maxWatchWait       = 3 * time.Second
 	watchTimeoutMargin = 600 * time.Millisecond
-	// minWatchInterval and maxWatchInterval bound the least time between the starts of two
-	// watches, which is a quarter of Options.UpdateBound. It lets one answer carry several
-	// changes and bounds the rate of calls.
+	// minWatchInterval is the least time between the starts of two watches. It lets one
+	// answer carry several changes. In larger fleets the time grows, so that all nodes
+	// together begin fleetWatchRate watches a second, up to a quarter of
+	// Options.UpdateBound.
 	minWatchInterval = time.Second
-	maxWatchInterval = 2 * time.Second
+	fleetWatchRate   = 30
 	// minBackoff and maxBackoff bound the backoff after a failed call, before jitter.
 	// Without jitter all nodes call a recovered store at the same moment.
 	minBackoff = 100 * time.Millisecond
@@ -74,7 +75,8 @@
 
 // watchInterval returns the least time between the starts of two watches.
 func (d *Directory) watchInterval() time.Duration {
-	return min(max(d.opts.UpdateBound/4, minWatchInterval), maxWatchInterval)
+	spread := time.Duration(len(d.Fleet().Members)) * time.Second / fleetWatchRate
+	return max(min(spread, d.opts.UpdateBound/4), minWatchInterval)
 }
 
 func (d *Directory) nextChanges(ctx context.Context) (Page, error) {
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -92,9 +92,11 @@
 		Log:         g.log,
 		UpdateBound: time.Duration(g.settings.GetForwarding().GetNewsBoundMs()) * time.Millisecond,
 		History:     relay.NewHistoryClient(g.peers),
-		AnswerBound: revocationBound(g.settings.GetForwarding()),
-		Changed:     g.updateView,
-		Quarantined: func(f quarantine.Fingerprint) { g.forwarder.Refuse(f) },
+
+		ReadsPerSecond: g.settings.GetForwarding().GetStoreReadsPerS(),
+		AnswerBound:    revocationBound(g.settings.GetForwarding()),
+		Changed:        g.updateView,
+		Quarantined:    func(f quarantine.Fingerprint) { g.forwarder.Refuse(f) },
 	}
 	if !self.FollowsStoreAtStart() {
 		o.RegisterAfter = smallNodeRegisterDelay
