--- a/node/directory/history.go
+++ b/node/directory/history.go
@@ -36,7 +36,7 @@
 	maxReadSpacing = 2 * time.Second
 )
 
-// ErrHistoryUnknown: a node does not know all changes after a revision.
+// ErrHistoryUnknown says that a node does not know all changes after a revision.
 var ErrHistoryUnknown = errors.New("changes after the revision are not known")
 
 // ReplicaChanges are the changes of replicas after a revision, as another node knows them.
