Reset the connections of cancelled exchanges

Cause: on the whole fleet a request whose caller had left at 25.6 s reached replicas at 31.7 s, when the links of a cut-off data centre came back. A cancelled exchange was closed, and the kernel goes on sending what was written before the close, for minutes. The replica starts stale work just when it recovers, and its slots are taken from requests that somebody waits for.

Change: an exchange that is aborted resets its connection, which discards what is not delivered yet. Idle connections and shutdown are closed as before.

--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -126,7 +126,7 @@
 	case f.conn == nil:
 	case linger <= 0:
 		f.aborted = true
-		f.conn.closeNow()
+		f.conn.reset()
 	default:
 		time.AfterFunc(linger, f.abort)
 	}
@@ -138,7 +138,7 @@
 	defer f.mu.Unlock()
 	if f.conn != nil {
 		f.aborted = true
-		f.conn.closeNow()
+		f.conn.reset()
 	}
 }
 
--- a/node/backend/netconn.go
+++ b/node/backend/netconn.go
@@ -147,6 +147,16 @@
 	_, _ = io.Copy(io.Discard, nc.Conn)
 }
 
+// reset closes the connection and discards what the kernel has not delivered. After a close,
+// the kernel would go on sending a request to a peer that does not answer, for minutes, and
+// the peer would run it when the link is back.
+func (nc *netConn) reset() {
+	if tcp, ok := nc.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	nc.closeNow()
+}
+
 // closeNow closes the connection without waiting for the peer.
 func (nc *netConn) closeNow() {
 	_ = nc.Close()
