Report an isolated coordinator to the others of its data centre

Cause: a coordinator detects that its data centre is cut off by attempts of its own requests. The requests of each coordinator become fewer as coordinators are added.

Change: the heartbeat to a coordinator says when another one of its data centre is isolated. It then probes the data centres from which it has no recent answer, as it does while one of them is unreachable. Nothing is probed while no node is isolated.

Conclusion: detection no longer depends on the requests of each coordinator.

--- a/node/forward/reach.go
+++ b/node/forward/reach.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// suspect records that another node of the data centre is isolated.
+func (r *reachability) suspect() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Suspect(time.Now())
+}
+
 // unreachable returns the data centres that cannot be reached.
 func (r *reachability) unreachable() map[string]bool { return r.current.Load().Unreachable }
 
@@ -200,3 +207,7 @@
 // Isolated reports whether this node reaches no other data centre, or too few of them to
 // answer requests.
 func (f *Forwarder) Isolated() bool { return f.reach.current.Load().Isolated }
+
+// SuspectIsolation records that another node of this data centre is isolated. This node then
+// probes the data centres from which it has no recent answer.
+func (f *Forwarder) SuspectIsolation() { f.reach.suspect() }
--- a/node/relay/cluster_test.go
+++ b/node/relay/cluster_test.go
@@ -39,6 +39,8 @@
 	version   uint64
 	following bool
 	isolated  bool
+	// suspected counts the reports of an isolated node.
+	suspected int
 	stale     bool
 	leaving   bool
 	fleet     coordinator.Fleet
@@ -149,6 +151,14 @@
 	return n.isolated
 }
 
+func (n *node) SuspectIsolation() { n.update(func() { n.suspected++ }) }
+
+func (n *node) suspectedCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.suspected
+}
+
 func (n *node) Leaving() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/relay/heartbeat.go
+++ b/node/relay/heartbeat.go
@@ -179,10 +179,11 @@
 	defer cancel()
 	r.mu.Lock()
 	revision := r.table.Revision()
+	isolated := to.DataCentre == r.opts.Self.DataCentre && r.table.Isolated(time.Now())
 	r.mu.Unlock()
 	return peerv1.NewCoordinatorClient(conn).Heartbeat(ctx, &pb.HeartbeatRequest{
 		Node: r.opts.Self.Node, FleetRevision: revision, WaitMs: uint64(wait.Milliseconds()),
-		DeliveryUs: microseconds(r.takeLongestDelivery()),
+		DeliveryUs: microseconds(r.takeLongestDelivery()), IsolatedPeer: isolated,
 	})
 }
 
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -154,6 +154,19 @@
 	})
 }
 
+// Guards against a coordinator without requests that counts as serving in an isolated data
+// centre, because nothing tells it that the others are isolated.
+func TestCoordinatorLearnsThatAnotherIsIsolated(t *testing.T) {
+	runTest(t, func(c *cluster) {
+		used, other := c.usedCoordinator()
+		time.Sleep(time.Second)
+		c.Assert(other.suspectedCount(), qt.Equals, 0)
+		used.update(func() { used.isolated = true })
+		time.Sleep(time.Second)
+		c.Assert(other.suspectedCount() > 0, qt.IsTrue)
+	})
+}
+
 // Guards against requests in an isolated data centre that wait for unreachable coordinators
 // instead of being refused at once.
 func TestIsolatedDataCentreRefusesRequestsImmediately(t *testing.T) {
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -58,6 +58,8 @@
 	Serve(ctx context.Context, req *forward.Request) forward.Answer
 	// Isolated reports whether no other data centre is reachable.
 	Isolated() bool
+	// SuspectIsolation records that another node of the data centre is isolated.
+	SuspectIsolation()
 	// ServeBatch sends the attempts of another node's batch.
 	ServeBatch(ctx context.Context, b *forward.Batch, deliver func(forward.PartReplies) error) error
 	SuspectTable
@@ -174,6 +176,9 @@
 func (s *Server) Heartbeat(ctx context.Context, m *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
 	s.opts.Directory.MarkReliedOn()
 	s.delivery.observe(duration(m.GetDeliveryUs()))
+	if m.GetIsolatedPeer() {
+		s.opts.Local.SuspectIsolation()
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(m.GetWaitMs())*time.Millisecond, maxHeartbeatWait))
 	defer cancel()
 	current := s.currentState()
--- a/policy/reach/reach.go
+++ b/policy/reach/reach.go
@@ -27,12 +27,17 @@
 	// probeAfter is the time without an answer after which a data centre is probed while
 	// another one is unreachable.
 	probeAfter = 200 * time.Millisecond
+	// suspicionTTL is how long data centres are probed after Suspect. Nodes that report a
+	// partition repeat it sooner.
+	suspicionTTL = time.Second
 )
 
 // Tracker tracks which data centres one node can reach. Not safe for concurrent use.
 type Tracker struct {
 	own     string
 	centres map[string]*centre
+	// suspectedUntil is when a partition that another node reports stops being suspected.
+	suspectedUntil time.Time
 }
 
 // centre is the state of one data centre.
@@ -91,6 +96,10 @@
 	}
 }
 
+// Suspect records that another node of the data centre is isolated. The data centres without
+// a recent answer are probed, so that a node without requests detects a partition too.
+func (t *Tracker) Suspect(now time.Time) { t.suspectedUntil = now.Add(suspicionTTL) }
+
 // PendingAttempt is an attempt that has been in flight for longer than replicas pause. After
 // a partition, such attempts occupy every connection and none ends for a second. Without
 // them, a node detects the partition after 1.5 s in place of 0.6 s.
@@ -107,7 +116,7 @@
 	// callers.
 	Isolated bool
 	// Probe lists the data centres to probe: the unreachable ones and, while there are
-	// any, those other than the node's own without an answer for probeAfter. A request
+	// any or a partition is suspected, those other than the node's own without an answer for probeAfter. A request
 	// that is refused because shards are missing is sent to no replica. Without probes,
 	// an idle data centre would count as reachable for the whole partition.
 	Probe []string
@@ -164,7 +173,7 @@
 
 // probes returns the data centres to probe, sorted by name.
 func (t *Tracker) probes(now time.Time, unreachable map[string]bool) []string {
-	if len(unreachable) == 0 {
+	if len(unreachable) == 0 && !now.Before(t.suspectedUntil) {
 		return nil
 	}
 	var names []string
--- a/policy/reach/reach_test.go
+++ b/policy/reach/reach_test.go
@@ -1,6 +1,7 @@
 package reach_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -141,3 +142,86 @@
 	result := tr.Evaluate(begin.Add(time.Second), nil, sufficient)
 	c.Assert(result.Unreachable, qt.DeepEquals, map[string]bool{"b": true})
 }
+
+// Guards against nodes with few requests that stay ready in a data centre that is cut off,
+// each until it has a request of its own: with more nodes, each has fewer requests. Fails
+// without Suspect.
+func TestIdleNodesDetectAPartitionSoon(t *testing.T) {
+	const detectionSpread = 1500 * time.Millisecond
+	for _, count := range []int{2, 10, 60, 120} {
+		for seed := range uint64(20) {
+			first, last := detectCut(count, rand.New(rand.NewPCG(seed, uint64(count))))
+			qt.New(t).Check(last > 0 && last-first <= detectionSpread, qt.IsTrue,
+				qt.Commentf("%d nodes, seed %d: %v to %v", count, seed, first, last))
+		}
+	}
+}
+
+// detectCut cuts off a data centre with count nodes and returns when the first and the last
+// of them detect it; 0 for never. Heartbeats report the first to the others.
+func detectCut(count int, rng *rand.Rand) (first, last time.Duration) {
+	const (
+		round             = 200 * time.Millisecond
+		heartbeat         = 300 * time.Millisecond
+		requestsPerSecond = 13.5
+	)
+	nodes, probes := make([]*cutOffNode, count), make([][]string, count)
+	for i := range nodes {
+		wait := rng.ExpFloat64() * float64(count) / requestsPerSecond
+		nodes[i] = &cutOffNode{tracker: tracker(), requestAt: time.Duration(wait * float64(time.Second))}
+	}
+	for at := round; at < time.Minute; at += round {
+		isolated := 0
+		for i, n := range nodes {
+			if first > 0 && at >= first+heartbeat {
+				n.tracker.Suspect(begin.Add(at))
+			}
+			probes[i] = n.step(at, probes[i])
+			if n.isolated {
+				isolated++
+			}
+		}
+		if isolated > 0 && first == 0 {
+			first = at
+		}
+		if isolated == count {
+			return first, at
+		}
+	}
+	return first, 0
+}
+
+// cutOffNode is a node of a data centre that is cut off.
+type cutOffNode struct {
+	tracker *reach.Tracker
+	// requestAt is the time of the first request after the cut.
+	requestAt time.Duration
+	isolated  bool
+}
+
+// step evaluates one round, in which the given probes have failed, and returns the next ones.
+func (n *cutOffNode) step(at time.Duration, probes []string) []string {
+	const silenceThreshold = 200 * time.Millisecond
+	for _, name := range probes {
+		n.tracker.RecordNoAnswer(name, name+"1")
+		n.tracker.RecordNoAnswer(name, name+"2")
+	}
+	if at >= n.requestAt+silenceThreshold && !n.isolated {
+		recordSilence(n.tracker, "b", "c")
+	}
+	result := n.tracker.Evaluate(begin.Add(at), nil, sufficient)
+	n.isolated = result.Isolated
+	return result.Probe
+}
+
+// Guards against probes that go on after the nodes that reported a partition are reachable
+// again, and against probes of data centres that answer.
+func TestSuspicionEndsAndSparesDataCentresThatAnswer(t *testing.T) {
+	c := qt.New(t)
+	tr := tracker()
+	now := begin.Add(time.Hour)
+	tr.RecordAnswer(now, "c")
+	tr.Suspect(now)
+	c.Assert(tr.Evaluate(now, nil, sufficient).Probe, qt.DeepEquals, []string{"b", "d"})
+	c.Assert(tr.Evaluate(now.Add(2*time.Second), nil, sufficient).Probe, qt.HasLen, 0)
+}
