Keep refuted crashes of a suspected request from coming back

A record keeps the answers of 16 services; a request over 36 shards has more. A node whose list is full of later answers does not keep the one that refuted a crash, and accepts that crash again from the next node, which makes it push, and the replies of nodes that have the answer refute it again.

Change: an entry remembers the replicas whose crashes were refuted or dropped, 64 at most, and accepts none of them again. One start of a replica crashes once. So each node takes up and drops a crash at most once.

--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -32,6 +32,9 @@
 // MaxCrashes bounds the crashes and the answers that are kept of each request.
 const MaxCrashes = 16
 
+// maxRefuted bounds the replicas of each request whose crashes are not accepted again.
+const maxRefuted = 4 * MaxCrashes
+
 // Crash is the crash of a replica while it ran a request.
 type Crash struct {
 	// Replica identifies one start of a replica, and Service its service. See Key.
@@ -53,6 +56,10 @@
 	// happened before the answer.
 	crashes []Crash
 	answers []Answer
+	// refuted holds the replicas whose crashes no longer count, the newest last. Without it,
+	// nodes that do not keep the answer that refuted a crash accept the crash again from each
+	// other, without end.
+	refuted []uint64
 	// refusedUntil is the end of the quarantine; zero if there is none.
 	refusedUntil time.Time
 	// trial is the ID of the running trial and trialUntil when it no longer blocks others; 0
@@ -285,8 +292,12 @@
 
 // addCrash adds a crash and reports whether it is new. Crashes are kept in order of time.
 func (e *entry) addCrash(c Crash) bool {
+	if slices.Contains(e.refuted, c.Replica) {
+		return false
+	}
 	for _, a := range e.answers {
 		if a.Service == c.Service && !c.At.After(a.At) {
+			e.refute(c)
 			return false
 		}
 	}
@@ -311,14 +322,29 @@
 // dropOldest removes the oldest crash, if possible one that is not of a trial.
 func (e *entry) dropOldest() {
 	i := max(0, slices.IndexFunc(e.crashes, func(c Crash) bool { return !c.Trial }))
+	e.refute(e.crashes[i])
 	e.crashes = slices.Delete(e.crashes, i, i+1)
 }
 
+// refute records that a crash no longer counts. One start of a replica crashes at most once.
+func (e *entry) refute(c Crash) {
+	if len(e.refuted) >= maxRefuted {
+		e.refuted = slices.Delete(e.refuted, 0, 1)
+	}
+	e.refuted = append(e.refuted, c.Replica)
+}
+
 // addAnswer adds an answer, removes the crashes that it refutes, and reports whether there
 // were any. With MaxCrashes answers, it replaces the oldest.
 func (e *entry) addAnswer(a Answer) bool {
 	before := len(e.crashes)
-	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return c.Service == a.Service && !c.At.After(a.At) })
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool {
+		refuted := c.Service == a.Service && !c.At.After(a.At)
+		if refuted {
+			e.refute(c)
+		}
+		return refuted
+	})
 	i := slices.IndexFunc(e.answers, func(known Answer) bool { return known.Service == a.Service })
 	if i < 0 && len(e.answers) >= MaxCrashes {
 		i = e.oldestAnswer()
