Shorter test of refuted crashes; four comments in plain words

Cause: the test's message queue was longer than needed; comments used everyday words. Conclusion: no behaviour changes.

--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -155,7 +155,7 @@
 }
 
 // Guards against a coordinator without requests that counts as serving in an isolated data
-// centre, because nothing tells it that the others are isolated.
+// centre, because it receives no report that the others are isolated.
 func TestCoordinatorLearnsThatAnotherIsIsolated(t *testing.T) {
 	runTest(t, func(c *cluster) {
 		used, other := c.usedCoordinator()
--- a/policy/quarantine/exchange_test.go
+++ b/policy/quarantine/exchange_test.go
@@ -1,8 +1,9 @@
 package quarantine_test
 
 import (
-	"container/heap"
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,19 +21,6 @@
 	records     []quarantine.Record
 }
 
-type messages []message
-
-func (m messages) Len() int           { return len(m) }
-func (m messages) Less(i, j int) bool { return m[i].at < m[j].at }
-func (m messages) Swap(i, j int)      { m[i], m[j] = m[j], m[i] }
-func (m *messages) Push(x any)        { *m = append(*m, x.(message)) }
-func (m *messages) Pop() any {
-	old := *m
-	last := old[len(old)-1]
-	*m = old[:len(old)-1]
-	return last
-}
-
 // pushPeers is the number of nodes that receive a change at once.
 const pushPeers = 16
 
@@ -41,9 +29,10 @@
 
 // exchangeFleet is a fleet of nodes that exchange the records of their tables.
 type exchangeFleet struct {
-	rng     *rand.Rand
-	tables  []*quarantine.Table
-	pending messages
+	rng    *rand.Rand
+	tables []*quarantine.Table
+	// pending is sorted by time.
+	pending []message
 	// lastChange is the time of the last change that a message caused, or the end of the run if
 	// there was no end of messages.
 	lastChange time.Duration
@@ -65,9 +54,9 @@
 	if from == slowNode {
 		transit *= 100
 	}
-	heap.Push(&x.pending, message{
-		from: from, to: to, at: now + transit, transit: transit, request: request, records: records,
-	})
+	m := message{from: from, to: to, at: now + transit, transit: transit, request: request, records: records}
+	i, _ := slices.BinarySearchFunc(x.pending, m.at, func(m message, at time.Duration) int { return cmp.Compare(m.at, at) })
+	x.pending = slices.Insert(x.pending, i, m)
 }
 
 // deliver merges the records of a message, which seem later by its transit, and answers a
@@ -75,14 +64,12 @@
 func (x *exchangeFleet) deliver(m message) {
 	records := make([]quarantine.Record, len(m.records))
 	for i, r := range m.records {
-		records[i] = quarantine.Record{Fingerprint: r.Fingerprint}
-		for _, c := range r.Crashes {
-			c.At = c.At.Add(m.transit)
-			records[i].Crashes = append(records[i].Crashes, c)
+		records[i] = quarantine.Record{Fingerprint: r.Fingerprint, Crashes: slices.Clone(r.Crashes), Answers: slices.Clone(r.Answers)}
+		for c := range r.Crashes {
+			records[i].Crashes[c].At = r.Crashes[c].At.Add(m.transit)
 		}
-		for _, a := range r.Answers {
-			a.At = a.At.Add(m.transit)
-			records[i].Answers = append(records[i].Answers, a)
+		for a := range r.Answers {
+			records[i].Answers[a].At = r.Answers[a].At.Add(m.transit)
 		}
 	}
 	merged := x.tables[m.to].Merge(epoch.Add(m.at), records)
@@ -110,7 +97,9 @@
 		if len(x.pending) == 0 || x.pending[0].at > until {
 			return
 		}
-		x.deliver(heap.Pop(&x.pending).(message))
+		m := x.pending[0]
+		x.pending = x.pending[1:]
+		x.deliver(m)
 	}
 	x.lastChange = until
 }
--- a/policy/quota/simulation_test.go
+++ b/policy/quota/simulation_test.go
@@ -64,7 +64,7 @@
 	member  coordinator.Member
 	limiter *quota.Limiter
 	pool    *quota.Pool
-	// downUntil is set while the node is down, group tells which nodes it reaches.
+	// downUntil is set while the node is down. A node reaches those of its group.
 	downUntil time.Time
 	silent    bool
 	group     int
--- a/policy/retrybudget/account.go
+++ b/policy/retrybudget/account.go
@@ -16,7 +16,7 @@
 	forgottenBelow = 0.1
 )
 
-// accounts tells how much of a budget each client account uses.
+// accounts counts how much of a budget each client account uses.
 type accounts struct {
 	// last and other are the two accounts that have sent the newest requests.
 	last, other sender
