--- a/policy/reach/reach.go
+++ b/policy/reach/reach.go
@@ -116,9 +116,10 @@
 	// callers.
 	Isolated bool
 	// Probe lists the data centres to probe: the unreachable ones and, while there are
-	// any or a partition is suspected, those other than the node's own without an answer for probeAfter. A request
-	// that is refused because shards are missing is sent to no replica. Without probes,
-	// an idle data centre would count as reachable for the whole partition.
+	// any or a partition is suspected, those other than the node's own without an answer
+	// for probeAfter. A request that is refused because shards are missing is sent to no
+	// replica. Without probes, an idle data centre would count as reachable for the whole
+	// partition.
 	Probe []string
 }
 
