Do not wait to read from a connection that is being closed

A wait for a lock stops virtual time, so that the close never timed out. Change: a read that finds the lock taken fails as on a closed connection; there is one reader. Measured: go test ./node/backend and go test -race -run 'Killed|Crash' ./node/forward pass.

--- a/node/backend/netconn.go
+++ b/node/backend/netconn.go
@@ -53,7 +53,11 @@
 }
 
 func (nc *netConn) Read(p []byte) (int, error) {
-	nc.readMu.Lock()
+	// A connection has one reader. Only awaitPeerClose holds the lock otherwise, until the
+	// peer closes.
+	if !nc.readMu.TryLock() {
+		return 0, net.ErrClosed
+	}
 	defer nc.readMu.Unlock()
 	if nc.closing.Load() {
 		return 0, net.ErrClosed
