--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -104,3 +104,15 @@
 func promise(status int) bool {
 	return status == 408 || status == 421 || status == 429 || status == 503
 }
+
+// hasIdle reports whether a connection is kept.
+func (c *client) hasIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cc := range c.idle {
+		if cc.Err() == nil {
+			return true
+		}
+	}
+	return false
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -125,6 +125,7 @@
 
 var cases = map[int]playable{
 	1: {case1, checkOnce},
+	2: {case2, checkLost},
 }
 
 // checkOnce checks the rules TWICE and REFUSED for requests that may run once at most.
