--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -28,6 +28,20 @@
 	program string
 	temp    string
 	ends    []func()
+	// storeURLs holds the store's URL for the first nodes, where it is not that of the store.
+	storeURLs []string
+	clients   map[string]*client
+}
+
+// client returns the client that keeps connections to an address.
+func (s *stage) client(address string) *client {
+	if s.clients == nil {
+		s.clients = make(map[string]*client)
+	}
+	if s.clients[address] == nil {
+		s.clients[address] = newClient(address, "hufi27.example")
+	}
+	return s.clients[address]
 }
 
 func (s *stage) onEnd(f func()) { s.ends = append(s.ends, f) }
@@ -35,7 +49,11 @@
 // startNodes starts a node in each zone and waits until all are ready.
 func (s *stage) startNodes(zones ...string) error {
 	for i, zone := range zones {
-		n, err := newNode(s.temp, s.program, fmt.Sprintf("front-%s-%d", zone, i+1), zone, s.store.URL())
+		url := s.store.URL()
+		if i < len(s.storeURLs) {
+			url = s.storeURLs[i]
+		}
+		n, err := newNode(s.temp, s.program, fmt.Sprintf("front-%s-%d", zone, i+1), zone, url)
 		if err != nil {
 			return err
 		}
@@ -126,6 +144,7 @@
 var cases = map[int]playable{
 	1: {case1, checkOnce},
 	2: {case2, checkLost},
+	3: {case3, checkApplied},
 }
 
 // checkOnce checks the rules TWICE and REFUSED for requests that may run once at most.
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -24,8 +24,10 @@
 	work              func() time.Duration
 	rec               *record
 	store             *platformtest.Store
-	listener          net.Listener
-	born              int64
+	// quiet replicas register once and write no heartbeats.
+	quiet    bool
+	listener net.Listener
+	born     int64
 
 	mu       sync.Mutex
 	running  int
@@ -51,7 +53,9 @@
 	}
 	go r.accept()
 	r.register()
-	go r.heartbeat()
+	if !r.quiet {
+		go r.heartbeat()
+	}
 	return nil
 }
 
