--- a/review/stand/case3.go
+++ b/review/stand/case3.go
@@ -61,20 +61,24 @@
 	if os.Getenv("SMALL") != "" {
 		routes = 100
 	}
-	version := 7
-	put := func(service string) error {
-		c, err := configuration(version, service, routes)
+	// The versions are made before, so that the storm keeps its times.
+	var versions []json.RawMessage
+	for i := range stormChanges + 1 {
+		service := oldService
+		if i == stormChanges {
+			service = newService
+		}
+		c, err := configuration(7+2*i, service, routes)
 		if err != nil {
 			return err
 		}
-		s.store.Put(names["config"], c)
-		s.rec.log("the operator writes version %d, %d bytes, route to %s", version, len(c), service)
-		version += 2
-		return nil
+		versions = append(versions, c)
 	}
-	if err := put(oldService); err != nil {
-		return err
+	put := func(i int) {
+		s.store.Put(names["config"], versions[i])
+		s.rec.log("the operator writes version %d, %d bytes", 7+2*i, len(versions[i]))
 	}
+	put(0)
 	for _, service := range []string{oldService, newService} {
 		for i := range 3 {
 			r := &replica{
@@ -111,16 +115,9 @@
 	// off too, in nanoseconds since the start.
 	var due atomic.Int64
 	go func() {
-		time.Sleep(time.Until(began.Add(stormAt)))
 		for i := range stormChanges {
-			service := oldService
-			if i == stormChanges-1 {
-				service = newService
-			}
-			if err := put(service); err != nil {
-				s.rec.log("%v", err)
-			}
-			time.Sleep(stormGap)
+			time.Sleep(time.Until(began.Add(stormAt + time.Duration(i)*stormGap)))
+			put(i + 1)
 		}
 		confirmed := time.Since(began)
 		due.Store(int64(max(confirmed+apply, cutAt+cutFor+contact)))
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -114,6 +114,7 @@
 		for _, n := range s.nodes {
 			n.kill()
 		}
+		_ = os.RemoveAll(temp)
 		os.Exit(2)
 	}()
 	rec.log("case %d, trouble %v", *number, s.trouble)
