--- a/review/stand/case1.go
+++ b/review/stand/case1.go
@@ -12,30 +12,36 @@
 //go:embed config1.json
 var config1 string
 
+// The service is that of the site's branch-planner: four replicas with six slots and a queue of 24,
+// 60 ms a request, behind eight nodes.
 const (
-	// case1Rate is close to what the replicas bear: twelve with two slots, 30 ms a request.
-	case1Rate     = 765.0
-	case1Replicas = 12
-	// The dose of the disruption, that of "extra late" in the site file.
-	lateShare    = 0.03
-	lateReplicas = 7
+	case1Replicas = 4
+	case1Slots    = 6
+	case1Queue    = 24
+	case1MaxConns = 51
+	// case1Rate is 1.05 times what the replicas bear.
+	case1Rate      = 420.0
+	case1TimeLimit = 4 * time.Second
+	// The dose of the disruption, that of "extra late across" in the site file.
+	lateShare    = 0.04
+	lateReplicas = 2
 	lateFor      = 5 * time.Second
 	// latePeriod is the time from one disruption to the next.
-	latePeriod = 9 * time.Second
+	latePeriod = 7 * time.Second
 	case1For   = 95 * time.Second
-	timeLimit  = 5 * time.Second
 )
 
+// case1Zones holds the zone of each node.
+var case1Zones = []string{"stgo-a", "stgo-a", "stgo-a", "stgo-b", "stgo-b", "valpo-a", "rancagua-a", "rancagua-a"}
+
 // case1: replicas hand out second copies of answers late. Requests may run once at most.
 func case1(s *stage) error {
 	s.store.Put(names["config"], json.RawMessage(config1))
 	var replicas []*replica
-	zones := []string{"ke-rift-a", "ke-rift-b", "ke-rift-c", "ke-rift-d"}
-	for i := range case1Replicas {
-		zone := zones[i%len(zones)]
+	for i, zone := range []string{"stgo-a", "stgo-b", "valpo-a", "rancagua-a"} {
 		r := &replica{
-			id: fmt.Sprintf("i-%08x", rand.Uint32()), service: "kafi81c", zone: zone, slots: 2, queue: 3, maxConns: 110,
-			work: entryWork, rec: s.rec, store: s.store,
+			id: fmt.Sprintf("i-%08x", rand.Uint32()), service: "kafi81c", zone: zone, slots: case1Slots, queue: case1Queue,
+			maxConns: case1MaxConns, work: case1Work, rec: s.rec, store: s.store,
 		}
 		if err := r.start(); err != nil {
 			return err
@@ -44,7 +50,7 @@
 		s.rec.log("replica %d is %s in %s", i, r.id, zone)
 		replicas = append(replicas, r)
 	}
-	if err := s.startNodes(zones...); err != nil {
+	if err := s.startNodes(case1Zones...); err != nil {
 		return err
 	}
 	var clients []*client
@@ -75,29 +81,29 @@
 		time.Sleep(time.Until(next))
 		at := rand.IntN(len(clients))
 		id := fmt.Sprintf("%08x%06d", s.run, n)
-		all.Go(func() { entry(s, clients, at, id) })
+		all.Go(func() { lookup(s, clients, at, id) })
 	}
 	all.Wait()
 	time.Sleep(time.Second)
 	return nil
 }
 
-// entryWork is the time of one request: 30 ms on average.
-func entryWork() time.Duration {
-	return time.Duration(15+rand.IntN(31)) * time.Millisecond
+// case1Work is the time of one request: 60 ms on average.
+func case1Work() time.Duration {
+	return time.Duration(30+rand.IntN(61)) * time.Millisecond
 }
 
-// entry sends one request of a client, and once more after a promise that it has not run.
-func entry(s *stage, clients []*client, at int, id string) {
+// lookup sends one request of a client, and once more after a promise that it has not run.
+func lookup(s *stage, clients []*client, at int, id string) {
 	began := time.Now()
 	target := "/goka902/" + id
 	for attempt := range 2 {
-		left := timeLimit - time.Since(began)
+		left := case1TimeLimit - time.Since(began)
 		this := fmt.Sprintf("%s.%d", id, attempt)
 		s.rec.sent(this, "POST to "+s.nodes[at].name)
-		a := clients[at].send("POST", target, this, "fee of "+id, left, attempt > 0)
+		a := clients[at].send("POST", target, this, "booking "+id, left, attempt > 0)
 		s.rec.answered(this, a.status, a.note())
-		if !promise(a.status) || a.retryAfter > (timeLimit-time.Since(began))/3 {
+		if !promise(a.status) || a.retryAfter > (case1TimeLimit-time.Since(began))/3 {
 			return
 		}
 		time.Sleep(a.retryAfter)
--- a/review/stand/case2.go
+++ b/review/stand/case2.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +12,9 @@
 	"time"
 )
 
+//go:embed config2.json
+var config2 string
+
 const (
 	case2Rate     = 45.0
 	case2Replicas = 12
@@ -19,11 +23,12 @@
 	termAfter = 4 * time.Second
 	hupAfter  = 1500 * time.Millisecond
 	grace     = 6 * time.Second
+	timeLimit = 5 * time.Second
 )
 
 // case2: a node gets SIGTERM, and SIGHUP while it finishes its requests.
 func case2(s *stage) error {
-	s.store.Put(names["config"], json.RawMessage(config1))
+	s.store.Put(names["config"], json.RawMessage(config2))
 	zones := []string{"ke-rift-a", "ke-rift-b"}
 	for i := range case2Replicas {
 		r := &replica{
--- a/review/stand/case3.go
+++ b/review/stand/case3.go
@@ -181,3 +181,8 @@
 	}
 	return 0
 }
+
+// entryWork is the time of one request: 30 ms on average.
+func entryWork() time.Duration {
+	return time.Duration(15+rand.IntN(31)) * time.Millisecond
+}
