--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -13,21 +13,25 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
+	"time"
 
 	"github.com/carobmill/carobmill/platform/platformtest"
 )
 
 // stage is what a case runs on.
 type stage struct {
-	rec     *record
-	store   *platformtest.Store
-	nodes   []*node
-	trouble bool
-	run     uint32
-	program string
-	temp    string
-	ends    []func()
+	rec   *record
+	store *platformtest.Store
+	// starting is held while a node is started, and by abort, after which none is started.
+	starting sync.Mutex
+	nodes    []*node
+	trouble  bool
+	run      uint32
+	program  string
+	temp     string
+	ends     []func()
 	// storeURLs holds the store's URL for the first nodes, where it is not that of the store.
 	storeURLs []string
 	clients   map[string]*client
@@ -57,8 +61,11 @@
 		if err != nil {
 			return err
 		}
+		s.starting.Lock()
 		s.nodes = append(s.nodes, n)
-		if err := n.start(); err != nil {
+		err = n.start()
+		s.starting.Unlock()
+		if err != nil {
 			return err
 		}
 		s.onEnd(n.kill)
@@ -76,6 +83,21 @@
 	s.store.Close()
 }
 
+// maxTime ends a case that hangs. A script may take 120 s.
+const maxTime = 118 * time.Second
+
+// abort ends all nodes and this process, as a case that could not run.
+func (s *stage) abort(reason string) {
+	s.starting.Lock()
+	s.rec.log("%s", reason)
+	for _, n := range s.nodes {
+		n.kill()
+	}
+	_ = os.RemoveAll(s.temp)
+	fmt.Fprintln(os.Stderr, reason)
+	os.Exit(2)
+}
+
 func main() { os.Exit(play()) }
 
 func play() int {
@@ -108,14 +130,14 @@
 	}
 	defer s.close()
 	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGQUIT)
 	go func() {
-		<-interrupted
-		for _, n := range s.nodes {
-			n.kill()
+		select {
+		case got := <-interrupted:
+			s.abort("ended by " + got.String())
+		case <-time.After(maxTime):
+			s.abort("not finished after " + maxTime.String())
 		}
-		_ = os.RemoveAll(temp)
-		os.Exit(2)
 	}()
 	rec.log("case %d, trouble %v", *number, s.trouble)
 	if err := play.run(s); err != nil {
--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -47,7 +47,7 @@
 // newNode writes the settings of a node: those that deploy/settings.yaml.tmpl renders for a small
 // deployment.
 func newNode(dir, program, name, zone, storeURL string) (*node, error) {
-	n := &node{name: name, zone: zone, program: program}
+	n := &node{name: name, zone: zone, program: program, exited: make(chan struct{})}
 	for _, address := range []*string{&n.caller, &n.admin, &n.peer} {
 		free, err := freeAddress()
 		if err != nil {
@@ -92,9 +92,9 @@
 	// The kernel ends the process with this one.
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.cmd.Start(); err != nil {
+		_ = log.Close()
 		return err
 	}
-	n.exited = make(chan struct{})
 	go func() {
 		_ = n.cmd.Wait()
 		_ = log.Close()
