Keep the signal handlers of a node until its process exits

Cause: watchReload called signal.Stop for SIGHUP when the context ended, that is at SIGTERM. From then on SIGHUP had its default action, which ends the process, for the rest of the shutdown. The handler was also registered only after the settings had been read, so that a SIGHUP during startup ended the process too, and SIGTERM and SIGINT lost theirs just before the exit.

Evidence: the wait status of such a node is "signal: hangup", and a node that gets SIGTERM, SIGINT, SIGUSR1 or SIGUSR2 every 10 ms in its place finishes and exits with code 0.

Change: Main registers all handlers first and never removes them. Both programs use it.

A SIGHUP before main runs still ends the process; it has opened no listener then.

--- a/cmd/carobmill/process_test.go
+++ b/cmd/carobmill/process_test.go
@@ -152,7 +152,8 @@
 }
 
 // After one of four node processes is killed, the others return complete answers. On
-// SIGTERM, a process answers the request that it has accepted and exits with code 0.
+// SIGTERM, a process answers the request that it has accepted and exits with code 0, also if
+// SIGHUP follows during the shutdown.
 func TestNodeProcessesServeAfterKillAndShutDownGracefully(t *testing.T) {
 	c := qt.New(t)
 	_, nodes := deploy(t, 4)
@@ -167,6 +168,8 @@
 	}()
 	time.Sleep(time.Millisecond)
 	c.Assert(nodes[0].cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	time.Sleep(50 * time.Millisecond)
+	c.Assert(nodes[0].cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
 	answer := <-answered
 	c.Assert(answer.Outcome, qt.Equals, query.Complete, qt.Commentf("%+v", answer))
 	c.Assert(nodes[0].cmd.Wait(), qt.IsNil, qt.Commentf("exit status after SIGTERM"))
--- a/node/command/command.go
+++ b/node/command/command.go
@@ -14,9 +14,7 @@
 	"io"
 	stdlog "log"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -49,20 +47,24 @@
 // Main runs the command line of this process until it receives SIGTERM or SIGINT, and
 // returns the exit code.
 func Main(newAdapter AdapterFactory) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	return Run(ctx, os.Args[1:], os.Stdout, os.Stderr, newAdapter)
+	ctx, reloads := notifySignals()
+	return run(ctx, reloads, os.Args[1:], os.Stdout, os.Stderr, newAdapter)
 }
 
-// Run runs a command line until ctx ends and returns its exit code.
+// Run runs a command line until ctx ends and returns its exit code. It handles no signals.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer, newAdapter AdapterFactory) int {
+	return run(ctx, nil, args, stdout, stderr, newAdapter)
+}
+
+// run is Run with the channel of reloads, which is nil for none.
+func run(ctx context.Context, reloads <-chan os.Signal, args []string, stdout, stderr io.Writer, newAdapter AdapterFactory) int {
 	if len(args) == 0 {
 		_, _ = io.WriteString(stderr, usage)
 		return ExitUsage
 	}
 	switch args[0] {
 	case "run":
-		return runNode(ctx, args[1:], stdout, stderr, newAdapter)
+		return runNode(ctx, reloads, args[1:], stdout, stderr, newAdapter)
 	case "check-settings":
 		return checkSettings(args[1:], stdout, stderr)
 	case "version":
@@ -74,7 +76,7 @@
 	}
 }
 
-func runNode(ctx context.Context, args []string, stdout, stderr io.Writer, newAdapter AdapterFactory) int {
+func runNode(ctx context.Context, reloads <-chan os.Signal, args []string, stdout, stderr io.Writer, newAdapter AdapterFactory) int {
 	flags := flag.NewFlagSet("run", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	file := flags.String("settings", "", "the node's settings, a YAML `FILE`")
@@ -103,7 +105,9 @@
 	defer func() { _ = library.Close() }()
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(library)
-	watchReload(ctx, log)
+	if reloads != nil {
+		go logReloads(reloads, log)
+	}
 	n, err := newNode(s, log, newAdapter)
 	if err != nil {
 		log.WithError(err).Error("node failed to start")
@@ -133,24 +137,6 @@
 	return gateway.New(s, log, newAdapter(s))
 }
 
-// watchReload logs each SIGHUP until ctx ends. The settings are read only at startup;
-// whatever changes while a node runs is part of the fleet's configuration.
-func watchReload(ctx context.Context, log logrus.FieldLogger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(hangups)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-hangups:
-				log.Info("reload: settings take effect after a restart of the node")
-			}
-		}
-	}()
-}
-
 func checkSettings(args []string, stdout, stderr io.Writer) int {
 	if len(args) != 1 {
 		_, _ = fmt.Fprintf(stderr, "check-settings requires exactly one FILE\n%s", usage)
