Serve on when the reader of a node's log is gone

What callers see: a node whose standard output or error is a pipe ends at its next log line once the reader has gone, with all requests in flight.

Cause: a write to a closed standard output or error raises SIGPIPE, whose default action in the runtime ends the process. Same class as SIGHUP in the shutdown: a signal without a handler. Found by asking for each signal what it does to a node; SIGUSR1 and SIGUSR2 have no effect, SIGQUIT ends the process with a dump of its goroutines, as the runtime documents.

Change: SIGPIPE is ignored, so that the write fails. The log's writer already ignores a write error.

TestClosedLogPipeDoesNotEndTheNode before: status 0 in place of 200 at the first request after the reader was closed. After: passed 3 times in a row.

--- a/node/command/signals.go
+++ b/node/command/signals.go
@@ -10,13 +10,16 @@
 )
 
 // notifySignals registers the handlers of the signals that stop and reload a node. stop ends
-// at the first SIGTERM or SIGINT; reloads receives each SIGHUP.
+// at the first SIGTERM or SIGINT; reloads receives each SIGHUP. SIGPIPE is ignored: a node
+// serves on without a reader of its log.
 //
 // The handlers remain registered until the process exits. Without a handler, a signal ends
 // the process at once, and with it the requests that a graceful shutdown is finishing.
 func notifySignals() (stop context.Context, reloads <-chan os.Signal) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	// Otherwise the runtime ends the process at a write to a closed standard output or error.
+	signal.Ignore(syscall.SIGPIPE)
 	stop, _ = signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	return stop, hangups
 }
