Bound what a closing connection to a replica discards

What callers saw: nothing wrong in an answer, but a replica that sends bytes without end cost a node a processor core and its link for 2 s per request (closedConnHold), or 30 s at an ordinary node.

Cause: after an exchange has failed, Close shuts its write side and discards what arrives until the replica closes, or until the close timeout. A replica that sends until the connection is closed never closes first, and nothing bounded the bytes.

Change: at most the greatest valid reply is discarded, then the connection is reset. Orderly ends are as before.

--- a/node/backend/client.go
+++ b/node/backend/client.go
@@ -99,7 +99,9 @@
 	if !ok {
 		return inner, nil
 	}
-	result.conn = newNetConn(inner, c.opts.CloseTimeout, result.onDisconnect, &c.stats)
+	// The rest of a valid reply is discarded, since the peer then closes in an orderly way.
+	maxDrain := c.opts.MaxResultBytes + maxResponseHeaderBytes
+	result.conn = newNetConn(inner, c.opts.CloseTimeout, maxDrain, result.onDisconnect, &c.stats)
 	return result.conn, nil
 }
 
--- a/node/backend/netconn.go
+++ b/node/backend/netconn.go
@@ -25,8 +25,10 @@
 	// peerClosed is closed when the peer has closed the connection, or after
 	// closeTimeout.
 	peerClosed chan struct{}
-	// closeTimeout is how long Close waits for the peer.
+	// closeTimeout is how long Close waits for the peer, and maxDrain how many bytes it
+	// discards meanwhile.
 	closeTimeout time.Duration
+	maxDrain     int64
 	// onDisconnect is called once if the peer closes the connection first.
 	onDisconnect func()
 	// stats of the client.
@@ -41,12 +43,13 @@
 	writesBlocked bool
 }
 
-func newNetConn(c net.Conn, closeTimeout time.Duration, onDisconnect func(), counts *stats) *netConn {
+func newNetConn(c net.Conn, closeTimeout time.Duration, maxDrain int64, onDisconnect func(), counts *stats) *netConn {
 	return &netConn{
 		Conn:         c,
 		openedAt:     time.Now(),
 		peerClosed:   make(chan struct{}),
 		closeTimeout: closeTimeout,
+		maxDrain:     maxDrain,
 		onDisconnect: sync.OnceFunc(onDisconnect),
 		stats:        counts,
 	}
@@ -133,7 +136,8 @@
 	return nil
 }
 
-// awaitPeerClose closes the write side and waits until the peer closes its end.
+// awaitPeerClose closes the write side and waits until the peer closes its end. It discards at
+// most maxDrain bytes: a faulty peer may send without end until the connection is reset.
 func (nc *netConn) awaitPeerClose() {
 	defer close(nc.peerClosed)
 	defer func() { _ = nc.Conn.Close() }()
@@ -148,7 +152,7 @@
 	if nc.SetReadDeadline(time.Now().Add(nc.closeTimeout)) != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, nc.Conn)
+	_, _ = io.CopyN(io.Discard, nc.Conn, nc.maxDrain)
 }
 
 // reset closes the connection and discards what the kernel has not delivered. After a close,
--- a/node/backend/netconn_test.go
+++ b/node/backend/netconn_test.go
@@ -30,7 +30,7 @@
 func TestReadFailsAtOnceWhileConnectionCloses(t *testing.T) {
 	c := qt.New(t)
 	inner := &halfOpenConn{reading: make(chan struct{}), closed: make(chan struct{})}
-	nc := newNetConn(inner, time.Minute, func() {}, &stats{})
+	nc := newNetConn(inner, time.Minute, 1, func() {}, &stats{})
 	c.Assert(nc.Close(), qt.IsNil)
 	<-inner.reading
 	result := make(chan error, 1)
