Take no evidence or good state from a reply above the size limit

What callers saw: a request that a replica may have run could be sent again, or be refused as not run, when the replica states a refusal and then sends a body without end. A replica whose status reply does not end counted as well.

Cause: the exchange of ordinary nodes read the headers first and the size after that. A body above the limit kept the evidence of its headers, and a status reply was accepted before its size was looked at. Forwarded requests and incomplete replies already counted as unknown.

Change: both are decided after the size is known.

TestEndlessReplyToQueryIsCutOff (queries, batches, status requests) before: EVIDENCE_NOT_RUN in place of unknown for query and batch after a refusal with an endless body, and OK for three endless bodies of status requests. After: passed, also with -race. What held before: all other parts of a reply.

--- a/node/backend/endless_test.go
+++ b/node/backend/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -162,3 +163,49 @@
 		}
 	}
 }
+
+// Guards against the same for the requests of ordinary nodes: queries, batches of them and status
+// requests.
+func TestEndlessReplyToQueryIsCutOff(t *testing.T) {
+	call := backend.Call{Shard: "s0", Generation: 1, Snapshot: 7, Class: "checkpoint", Attempt: "a"}
+	requests := map[string]func(context.Context, *backend.Client, *config.Replica) backend.Reply{
+		"query": func(ctx context.Context, client *backend.Client, r *config.Replica) backend.Reply {
+			query := call
+			query.Replica = r
+			return client.Do(ctx, query)
+		},
+		"batch": func(ctx context.Context, client *backend.Client, r *config.Replica) (reply backend.Reply) {
+			done := func(r backend.Reply) { reply = r }
+			client.DoBatch(backend.Batch{Replica: r, Items: []backend.Item{{Ctx: ctx, Call: call, Done: done}}})
+			return reply
+		},
+		"status": func(ctx context.Context, client *backend.Client, r *config.Replica) backend.Reply {
+			return client.Poll(ctx, r)
+		},
+	}
+	for name, send := range requests {
+		for _, pause := range []time.Duration{0, 2 * time.Millisecond} {
+			for _, tc := range endlessReplies[:len(endlessReplies)-1] {
+				t.Run(fmt.Sprint(name, " ", tc.name, " ", pause), func(t *testing.T) {
+					t.Parallel()
+					c := qt.New(t)
+					s := &endlessServer{prefix: tc.prefix, filler: tc.filler, pause: pause}
+					startEndless(c, s)
+					defer func() { _ = s.listener.Close() }()
+					client := backend.New(backend.Options{MaxResultBytes: endlessMaxResult, CloseTimeout: endlessCloseTimeout})
+					defer client.Close()
+					client.SetConnections("r", 1)
+					replica := &config.Replica{Name: "r", Address: s.listener.Addr().String(), Service: &config.Service{Spec: &pb.Service{}}}
+					ctx, cancel := context.WithTimeout(context.Background(), endlessTimeLimit)
+					defer cancel()
+					reply := send(ctx, client, replica)
+					c.Check(reply.OK(), qt.IsFalse)
+					if name != "status" {
+						c.Check(reply.Evidence, qt.Equals, pb.Evidence_EVIDENCE_UNKNOWN)
+					}
+					s.checkCutOff(c)
+				})
+			}
+		}
+	}
+}
--- a/node/backend/exchange.go
+++ b/node/backend/exchange.go
@@ -202,7 +202,8 @@
 		reply.Reason, reply.Evidence = pb.Reason_REASON_CONNECTION, pb.Evidence_EVIDENCE_UNKNOWN
 		return reply, ex.pool.h2
 	}
-	if ex.path == pathStatus {
+	oversized := int64(len(body)) > limit
+	if ex.path == pathStatus && !oversized {
 		return statusReply(reply, resp.StatusCode), true
 	}
 	parseReplyFields(resp).classify(&reply, ex.call)
@@ -212,9 +213,9 @@
 		// Under HTTP/1.1 the connection's requests and replies are out of step.
 		return reply, ex.pool.h2
 	}
-	if int64(len(body)) > limit {
+	if oversized {
 		ex.truncated = true
-		reply.Reason = pb.Reason_REASON_BACKEND
+		reply.Reason, reply.Evidence = pb.Reason_REASON_BACKEND, pb.Evidence_EVIDENCE_UNKNOWN
 		return reply, ex.pool.h2
 	}
 	if reply.OK() {
