Do not send a request twice in a row on one connection

Cause: a refused request is sent again to the same replica with the same ID, mostly on the same connection, since the pool prefers the one used last. The late copy of the first refusal arrives in place of the reply to the second attempt, and its ID is right. It was recorded as "not run" for an attempt that the replica runs.

So the copy is told apart by the connection.

Change: the pool does not grant a connection for a request whose ID it was granted for last. Waiters that an idle connection does not suit are passed over, and where the share leaves no room, idle connections that suit no waiter are closed for new ones. All paths that send an ID more than once take their connections there. Two requests with the same ID in a row, which only tests sent, now use two connections; the tests of node/forward that gave each request the ID "q" use IDs of their own, as callers do: with the old ones, TestPartitionedNodeIsIsolatedDespiteIdleDataCentre failed, since each request waited for a new connection. Its assertions are unchanged.

Weighed: retries at other replicas only give up requests that a replica would take a moment later; a second refusal that counts as unknown fails requests that may not be repeated.

--- a/node/backend/client.go
+++ b/node/backend/client.go
@@ -243,7 +243,8 @@
 	var reply Reply
 	for range maxConnsPerAttempt {
 		begin := time.Now()
-		cn, err := p.acquire(ctx)
+		// Attempts have IDs of their own, so that any connection suits.
+		cn, err := p.acquire(ctx, "")
 		if err != nil {
 			onRelease()
 			return notRun(acquireReason(ctx, err))
--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -198,7 +198,7 @@
 func (p *pool) acquireFor(f *ForwardRequest) (*conn, pb.Reason) {
 	p.mu.Lock()
 	if p.limit > 0 && len(p.waiters) == 0 {
-		if cn := p.tryAcquireLocked(); cn != nil {
+		if cn := p.tryAcquireLocked(f.RequestID); cn != nil {
 			p.mu.Unlock()
 			return cn, 0
 		}
@@ -206,7 +206,7 @@
 	p.mu.Unlock()
 	ctx, cancel := f.waitContext()
 	defer cancel()
-	cn, err := p.acquire(ctx)
+	cn, err := p.acquire(ctx, f.RequestID)
 	if err != nil {
 		return nil, acquireReason(ctx, err)
 	}
--- a/node/backend/pool.go
+++ b/node/backend/pool.go
@@ -33,7 +33,7 @@
 	closing  int
 	dialling int
 	conns    []*conn
-	waiters  []chan grant
+	waiters  []waiter
 	// slowestReply is a slowly decaying maximum of the reply times.
 	slowestReply time.Duration
 	// checking is set while a check for silent connections runs.
@@ -49,8 +49,10 @@
 	inFlight int
 	used     uint64
 	lastUsed time.Time
-	closed   bool
-	silent   bool
+	// lastID is the ID of the last request that the connection was granted for.
+	lastID string
+	closed bool
+	silent bool
 	// suspect connections are not used until a probe has been answered on them.
 	suspect bool
 	// serverIdleTimeout is how long the server keeps the connection open while it is
@@ -58,6 +60,12 @@
 	serverIdleTimeout time.Duration
 }
 
+// waiter waits for a connection for the request with an ID, which may be empty.
+type waiter struct {
+	ready chan grant
+	id    string
+}
+
 // grant passes a connection, or the reason why none is available, to a waiter.
 type grant struct {
 	conn *conn
@@ -81,9 +89,10 @@
 	return pb.Reason_REASON_CANCELLED
 }
 
-// acquire returns a connection for one exchange. While the share is in use, exchanges
-// wait in order of arrival. When acquire fails, nothing has been sent.
-func (p *pool) acquire(ctx context.Context) (*conn, error) {
+// acquire returns a connection for one exchange of the request with an ID, which may be empty.
+// While the share is in use, exchanges wait in order of arrival. When acquire fails, nothing has
+// been sent.
+func (p *pool) acquire(ctx context.Context, id string) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -93,17 +102,18 @@
 		return nil, errNoShare
 	}
 	if len(p.waiters) == 0 {
-		if cn := p.tryAcquireLocked(); cn != nil {
+		if cn := p.tryAcquireLocked(id); cn != nil {
 			p.mu.Unlock()
 			return cn, nil
 		}
 	}
-	w := make(chan grant, 1)
+	w := waiter{ready: make(chan grant, 1), id: id}
 	p.waiters = append(p.waiters, w)
+	p.grantLocked()
 	p.dialLocked()
 	p.mu.Unlock()
 	select {
-	case g := <-w:
+	case g := <-w.ready:
 		return g.conn, g.err
 	case <-ctx.Done():
 		p.removeWaiter(w)
@@ -112,7 +122,7 @@
 }
 
 // removeWaiter removes a waiter and releases a connection granted in the meantime.
-func (p *pool) removeWaiter(w chan grant) {
+func (p *pool) removeWaiter(w waiter) {
 	p.mu.Lock()
 	i := slices.Index(p.waiters, w)
 	if i >= 0 {
@@ -122,19 +132,19 @@
 	if i >= 0 {
 		return
 	}
-	if g := <-w; g.conn != nil {
+	if g := <-w.ready; g.conn != nil {
 		p.release(g.conn, true)
 	}
 }
 
-// tryAcquireLocked returns the most recently used connection with capacity, or nil if
-// there is none. Preferring recently used connections lets surplus ones reach their idle
-// timeout. tryAcquireLocked prunes the connections first.
-func (p *pool) tryAcquireLocked() *conn {
+// tryAcquireLocked returns the most recently used connection that suits the request with an ID,
+// or nil if there is none. Preferring recently used connections lets surplus ones reach their
+// idle timeout. tryAcquireLocked prunes the connections first.
+func (p *pool) tryAcquireLocked(id string) *conn {
 	p.pruneLocked()
 	var best *conn
 	for _, cn := range p.conns {
-		if cn.suspect || cn.inFlight >= p.maxInFlight() {
+		if !p.hasCapacity(cn) || !cn.suits(id) {
 			continue
 		}
 		if best == nil || cn.lastUsed.After(best.lastUsed) {
@@ -144,10 +154,39 @@
 	if best != nil {
 		best.inFlight++
 		best.lastUsed = time.Now()
+		best.lastID = id
 	}
 	return best
 }
 
+// hasCapacity reports whether a connection can carry another exchange. The caller holds p.mu.
+func (p *pool) hasCapacity(cn *conn) bool {
+	return !cn.suspect && cn.inFlight < p.maxInFlight()
+}
+
+// suits reports whether a connection may carry the request with an ID. A second copy of a reply
+// may arrive in place of the next one. If the next request had the same ID, the copy would count
+// as its reply, and a copied refusal as evidence that a request has not run although it has.
+// The caller holds pool.mu.
+func (cn *conn) suits(id string) bool { return id == "" || cn.lastID != id }
+
+// closeUnsuitableLocked closes idle connections that suit no waiter, where the share leaves no
+// room for others. grantLocked calls it: the connections that are idle then suit none.
+func (p *pool) closeUnsuitableLocked() {
+	if len(p.waiters) == 0 || len(p.conns)+p.dialling < p.maxOpenLocked() {
+		return
+	}
+	unserved := len(p.waiters)
+	p.conns = slices.DeleteFunc(p.conns, func(cn *conn) bool {
+		if unserved == 0 || cn.inFlight > 0 || cn.suspect {
+			return false
+		}
+		unserved--
+		p.closeLocked(cn)
+		return true
+	})
+}
+
 func (p *pool) maxInFlight() int {
 	if p.h2 {
 		return streamsPerConnection
@@ -276,20 +315,23 @@
 		n = len(p.waiters)
 	}
 	for _, w := range p.waiters[:n] {
-		w <- grant{err: err}
+		w.ready <- grant{err: err}
 	}
 	p.waiters = slices.Delete(p.waiters, 0, n)
 }
 
+// grantLocked grants connections with capacity to the waiters that they suit, in order.
 func (p *pool) grantLocked() {
-	for len(p.waiters) > 0 {
-		cn := p.tryAcquireLocked()
+	for i := 0; i < len(p.waiters) && slices.ContainsFunc(p.conns, p.hasCapacity); {
+		cn := p.tryAcquireLocked(p.waiters[i].id)
 		if cn == nil {
-			return
+			i++
+			continue
 		}
-		p.waiters[0] <- grant{conn: cn}
-		p.waiters = slices.Delete(p.waiters, 0, 1)
+		p.waiters[i].ready <- grant{conn: cn}
+		p.waiters = slices.Delete(p.waiters, i, i+1)
 	}
+	p.closeUnsuitableLocked()
 }
 
 // release returns a connection after an exchange, and closes it unless keep is set.
@@ -321,7 +363,7 @@
 	p.pruneLocked()
 	if n <= 0 {
 		for _, w := range p.waiters {
-			w <- grant{err: errNoShare}
+			w.ready <- grant{err: errNoShare}
 		}
 		p.waiters = nil
 		return
--- a/node/forward/admission_test.go
+++ b/node/forward/admission_test.go
@@ -78,12 +78,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &sent{done: make(chan struct{}), cancel: cancel}
 	began := time.Now()
+	id := newRequestID()
 	go func() {
 		defer close(s.done)
 		defer cancel()
 		s.answer = f.Serve(ctx, &forward.Request{
-			ID: "q", Method: http.MethodGet, Target: path, Path: path, Host: "h.example",
-			Header: http.Header{headerID: {"q"}}, Arrived: began, CallerTimeout: time.Second, TransitReserve: 10 * ms,
+			ID: id, Method: http.MethodGet, Target: path, Path: path, Host: "h.example",
+			Header: http.Header{headerID: {id}}, Arrived: began, CallerTimeout: time.Second, TransitReserve: 10 * ms,
 		})
 		s.took = time.Since(began)
 	}()
--- a/node/forward/batch_test.go
+++ b/node/forward/batch_test.go
@@ -57,7 +57,8 @@
 }
 
 func batchedRequest() *forward.Request {
-	return &forward.Request{ID: "q", Method: http.MethodGet, Target: "/x", Header: http.Header{headerID: {"q"}}}
+	id := newRequestID()
+	return &forward.Request{ID: id, Method: http.MethodGet, Target: "/x", Header: http.Header{headerID: {id}}}
 }
 
 // Guards against losing parts that arrive merged from another data centre.
--- a/node/forward/bench_test.go
+++ b/node/forward/bench_test.go
@@ -42,13 +42,14 @@
 	for _, shards := range []int{42, 63} {
 		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
 			f := newGatherForwarder(b, shards)
-			header := http.Header{
-				headerID: {"q"}, "Accept-Encoding": {"identity"}, "User-Agent": {""}, "X-Custom": {"kept"},
-			}
 			b.ReportAllocs()
 			for b.Loop() {
+				id := newRequestID()
+				header := http.Header{
+					headerID: {id}, "Accept-Encoding": {"identity"}, "User-Agent": {""}, "X-Custom": {"kept"},
+				}
 				a := f.Serve(context.Background(), &forward.Request{
-					ID: "q", Method: http.MethodGet, Target: "/x", Path: "/x", Host: "h.example",
+					ID: id, Method: http.MethodGet, Target: "/x", Path: "/x", Host: "h.example",
 					Header: header, Arrived: time.Now(), CallerTimeout: time.Second,
 				})
 				if a.Outcome != forward.Merged || a.Missing > 0 {
--- a/node/forward/harness_test.go
+++ b/node/forward/harness_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -307,14 +308,21 @@
 // serve serves one request and returns its answer and latency.
 func (h *harness) serve(f *forward.Forwarder, reserve time.Duration) (forward.Answer, time.Duration) {
 	began := time.Now()
+	id := newRequestID()
 	a := f.Serve(context.Background(), &forward.Request{
-		ID: "q", Method: http.MethodGet, Target: "/x", Path: "/x", Host: "h.example",
-		Header:  http.Header{headerID: {"q"}},
+		ID: id, Method: http.MethodGet, Target: "/x", Path: "/x", Host: "h.example",
+		Header:  http.Header{headerID: {id}},
 		Arrived: began, CallerTimeout: time.Second, TransitReserve: reserve,
 	})
 	return a, time.Since(began)
 }
 
+// requestIDs counts the IDs that newRequestID has returned.
+var requestIDs atomic.Uint64
+
+// newRequestID returns an ID that no other request has, as callers do.
+func newRequestID() string { return "q" + strconv.FormatUint(requestIDs.Add(1), 10) }
+
 // checkRecords checks that an answer holds at most one part of each shard, exactly the
 // records of these parts, and the right number of missing shards.
 func (h *harness) checkRecords(a forward.Answer) {
