Read the store when changes are too large for one answer

Cause: an answer to a watch has no bound. The node took the first 8 MB of it for the whole ("unexpected end of JSON input"), counted the call as failed and asked the same question again. An answer that arrives only in part within the watch's timeout, as on a slow link, ended in the same way, and a page of a full read had 1 s at each try.

Change: an answer above the limit, or in part within its timeout, is ErrTooLarge, in the log and in store_answers_too_large. After a watch the node reads the store in pages, as after a loss of history. A page in part gets twice the time at the next try, up to 4 s.

--- a/node/directory/calls.go
+++ b/node/directory/calls.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/carobmill/carobmill/policy/coordinator"
 	"github.com/carobmill/carobmill/policy/quarantine"
 	"github.com/carobmill/carobmill/policy/upgrade"
@@ -29,6 +31,8 @@
 type CountedStore struct {
 	Store
 	counts [callKinds]atomic.Uint64
+	// tooLarge counts the answers that failed with ErrTooLarge.
+	tooLarge atomic.Uint64
 }
 
 // CountCalls returns a store that counts the calls to another one.
@@ -43,28 +47,39 @@
 	return calls
 }
 
+// TooLarge returns the number of answers that failed with ErrTooLarge.
+func (s *CountedStore) TooLarge() uint64 { return s.tooLarge.Load() }
+
+// checkSize counts an answer that was too large.
+func (s *CountedStore) checkSize(page Page, err error) (Page, error) {
+	if errors.Is(err, ErrTooLarge) {
+		s.tooLarge.Add(1)
+	}
+	return page, err
+}
+
 // Read implements Store.
 func (s *CountedStore) Read(ctx context.Context, cursor string) (Page, error) {
 	s.counts[CallRead].Add(1)
-	return s.Store.Read(ctx, cursor)
+	return s.checkSize(s.Store.Read(ctx, cursor))
 }
 
 // ReadOthers implements Store.
 func (s *CountedStore) ReadOthers(ctx context.Context) (Page, error) {
 	s.counts[CallRead].Add(1)
-	return s.Store.ReadOthers(ctx)
+	return s.checkSize(s.Store.ReadOthers(ctx))
 }
 
 // Watch implements Store.
 func (s *CountedStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
 	s.counts[CallWatch].Add(1)
-	return s.Store.Watch(ctx, after, wait)
+	return s.checkSize(s.Store.Watch(ctx, after, wait))
 }
 
 // Nodes implements Store.
 func (s *CountedStore) Nodes(ctx context.Context) (Page, error) {
 	s.counts[CallNodes].Add(1)
-	return s.Store.Nodes(ctx)
+	return s.checkSize(s.Store.Nodes(ctx))
 }
 
 // Register implements Store.
--- a/node/directory/directory_test.go
+++ b/node/directory/directory_test.go
@@ -40,6 +40,10 @@
 	beforeRead func(after string)
 	// pageSize is the number of records in a page; 0 for all.
 	pageSize int
+	// pageTime is how long a page needs to arrive.
+	pageTime time.Duration
+	// maxChanges is the number of changes that an answer to a watch may hold; 0 for all.
+	maxChanges int
 	// silent makes watches block until their context ends.
 	silent bool
 	// compactedBefore is the oldest revision from which a watch may continue.
@@ -88,10 +92,17 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) Read(_ context.Context, after string) (directory.Page, error) {
+func (s *fakeStore) Read(ctx context.Context, after string) (directory.Page, error) {
 	if s.beforeRead != nil {
 		s.beforeRead(after)
 	}
+	if s.pageTime > 0 {
+		select {
+		case <-time.After(s.pageTime):
+		case <-ctx.Done():
+			return directory.Page{}, directory.ErrTooLarge
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -162,6 +173,8 @@
 			return directory.Page{}, errUnavailable
 		case compacted:
 			return directory.Page{}, directory.ErrCompacted
+		case s.maxChanges > 0 && len(page.Records) > s.maxChanges:
+			return directory.Page{}, directory.ErrTooLarge
 		case len(page.Records) > 0:
 			return page, nil
 		}
@@ -303,6 +316,45 @@
 	})
 }
 
+// Guards against a node that asks the store again and again for changes that are too large for one
+// answer, and keeps an old configuration meanwhile.
+func TestChangesTooLargeForOneAnswerAreLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newFakeStore()
+		s.maxChanges = 3
+		s.put(configurationRecord(1))
+		d := follow(t, s)
+		time.Sleep(time.Second)
+		const newest = 12
+		s.set(func() { s.unavailable = true })
+		for v := uint64(2); v <= newest; v++ {
+			s.put(configurationRecord(v))
+			time.Sleep(400 * time.Millisecond)
+		}
+		s.set(func() { s.unavailable = false })
+		time.Sleep(updateBound)
+		c.Assert(d.View().Index.Version, qt.Equals, uint64(newest))
+		s.put(configurationRecord(newest + 1))
+		time.Sleep(updateBound)
+		c.Assert(d.View().Index.Version, qt.Equals, uint64(newest+1))
+	})
+}
+
+// Guards against a node on a slow link that asks for the same page again and again, because the page
+// needs more than the timeout to arrive.
+func TestPageOnSlowLinkIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newFakeStore()
+		s.pageTime = 3700 * time.Millisecond
+		s.put(configurationRecord(1))
+		d := follow(t, s)
+		time.Sleep(15 * time.Second)
+		c.Assert(d.View(), qt.IsNotNil)
+	})
+}
+
 // Guards against a grace period for removed replicas while the store is available.
 func TestRemovedReplicaIsDroppedImmediately(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/directory/read.go
+++ b/node/directory/read.go
@@ -12,12 +12,17 @@
 // store answers within 250 ms.
 const callTimeout = time.Second
 
+// maxPageTimeout bounds the call of a page of which only a part arrived within a shorter one. A
+// page of the greatest size takes 3.7 s on a link of 6 Mbit/s.
+const maxPageTimeout = 4 * time.Second
+
 // fullRead is a read of the whole store in progress. It outlives failed calls: in a large
 // fleet, a read that began anew after each of them might never end.
 type fullRead struct {
 	began time.Time
-	// cursor is that of the next page.
-	cursor string
+	// cursor is that of the next page, and timeout bounds its call.
+	cursor  string
+	timeout time.Duration
 	// first and last are the revisions of the first and of the newest page.
 	first, last uint64
 	// listed and upgrades hold the names of the records that were read.
@@ -31,7 +36,7 @@
 
 func newFullRead() *fullRead {
 	return &fullRead{
-		began: time.Now(), listed: make(map[Area]map[string]bool), upgrades: make(listedUpgrades), stored: make(map[string]bool),
+		began: time.Now(), timeout: callTimeout, listed: make(map[Area]map[string]bool), upgrades: make(listedUpgrades), stored: make(map[string]bool),
 	}
 }
 
@@ -62,7 +67,7 @@
 	}
 	r := d.reading
 	for more := true; more; more = r.cursor != "" {
-		page, err := d.readPage(ctx, r.cursor)
+		page, err := d.readPage(ctx, r)
 		if err != nil {
 			return err
 		}
@@ -151,7 +156,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	page, err := d.opts.Store.Watch(ctx, d.state.revision, 0)
-	if errors.Is(err, ErrCompacted) {
+	if missedChanges(err) != "" {
 		// The next watch fails in the same way.
 		return false, nil
 	}
@@ -166,10 +171,16 @@
 	return changed, nil
 }
 
-func (d *Directory) readPage(ctx context.Context, cursor string) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// readPage reads the next page. On a slow link a page may need more than the timeout of other
+// calls, and each try with the same timeout would fail.
+func (d *Directory) readPage(ctx context.Context, r *fullRead) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	return d.opts.Store.Read(ctx, cursor)
+	page, err := d.opts.Store.Read(ctx, r.cursor)
+	if errors.Is(err, ErrTooLarge) {
+		r.timeout = min(2*r.timeout, maxPageTimeout)
+	}
+	return page, err
 }
 
 // removeUnlisted removes what a full read did not list. d.stateMu is held.
--- a/node/directory/store.go
+++ b/node/directory/store.go
@@ -22,6 +22,10 @@
 	// ErrCompacted: the history after the given revision was compacted; a full read is
 	// required.
 	ErrCompacted = errors.New("history was compacted")
+	// ErrTooLarge: an answer exceeds the size limit of the Store, or did not arrive whole within
+	// the call's timeout. After a Watch a full read is required, whose pages are small: the same
+	// Watch would get the same answer again.
+	ErrTooLarge = errors.New("the store's answer is too large")
 	// ErrLeaseEnded: the lease has expired or was revoked.
 	ErrLeaseEnded = errors.New("lease has ended")
 	// ErrConflict: a key has changed since the revision that the write depends on.
--- a/node/directory/watch.go
+++ b/node/directory/watch.go
@@ -65,8 +65,8 @@
 // watchOnce waits for changes and applies them.
 func (d *Directory) watchOnce(ctx context.Context) error {
 	page, err := d.nextChanges(ctx)
-	if errors.Is(err, ErrCompacted) {
-		d.opts.Log.WithField("revision", d.state.revision).Info("the store has compacted its history: changes are missing")
+	if reason := missedChanges(err); reason != "" {
+		d.opts.Log.WithField("revision", d.state.revision).Info(reason)
 		d.outdated = true
 		d.resync.began = time.Now()
 		return nil
@@ -87,6 +87,18 @@
 	return nil
 }
 
+// missedChanges returns why a watch can't learn the changes, so that a full read is required; empty
+// if it can.
+func missedChanges(err error) string {
+	switch {
+	case errors.Is(err, ErrCompacted):
+		return "the store has compacted its history: changes are missing"
+	case errors.Is(err, ErrTooLarge):
+		return "the changes are too large for one answer of the store: it is read instead"
+	}
+	return ""
+}
+
 // watchInterval returns the least time between the starts of two watches.
 func (d *Directory) watchInterval() time.Duration {
 	if d.isFeed() {
--- a/node/gateway/feed.go
+++ b/node/gateway/feed.go
@@ -5,6 +5,7 @@
 	for kind, count := range g.store.Calls() {
 		set("store_calls_"+kind, float64(count))
 	}
+	set("store_answers_too_large", float64(g.store.TooLarge()))
 	through := 0.0
 	if g.directory.FeedInUse() != "" {
 		through = 1
