Grant one lease for completions that come at the same time

Cause: leaseCache.get looked for a usable lease and granted one outside its lock, so that completions which came before the first grant was back granted a lease each.

Change: one grant at a time; the others wait for it, within their own timeout, and use its lease.

TestConcurrentCompletionsShareOneGrant before: leases 1 to 8 in place of lease 1 for all. After: passed, as did TestKeyedRequestCostsTwoWrites, 200 runs each with -race.

--- a/node/execute/claims.go
+++ b/node/execute/claims.go
@@ -140,6 +140,8 @@
 type leaseCache struct {
 	leases    Leases
 	retention time.Duration
+	// granting holds an element while a lease is granted.
+	granting chan struct{}
 
 	// mu guards the fields below and is not held during I/O.
 	mu      sync.Mutex
@@ -147,17 +149,28 @@
 	renewAt time.Time
 }
 
+func newLeaseCache(leases Leases, retention time.Duration) leaseCache {
+	return leaseCache{leases: leases, retention: retention, granting: make(chan struct{}, 1)}
+}
+
 // get returns a lease that lives at least for the retention. It returns 0 if leases are
 // not in use or the grant fails. A claim without a lease is correct, but never expires.
 func (c *leaseCache) get(ctx context.Context, now time.Time) platform.LeaseID {
 	if c.leases == nil {
 		return 0
 	}
-	c.mu.Lock()
-	current, renewAt := c.current, c.renewAt
-	c.mu.Unlock()
-	if now.Before(renewAt) {
-		return current
+	if lease, ok := c.usable(now); ok {
+		return lease
+	}
+	// Completions at the same time share one grant.
+	select {
+	case c.granting <- struct{}{}:
+	case <-ctx.Done():
+		return 0
+	}
+	defer func() { <-c.granting }()
+	if lease, ok := c.usable(now); ok {
+		return lease
 	}
 	part := c.retention / leasesPerRetention
 	granted, err := c.leases.Grant(ctx, c.retention+part)
@@ -170,6 +183,13 @@
 	return granted
 }
 
+// usable returns the current lease if further claims may be attached to it.
+func (c *leaseCache) usable(now time.Time) (lease platform.LeaseID, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current, now.Before(c.renewAt)
+}
+
 // invalidate discards a lease that the platform no longer has.
 func (c *leaseCache) invalidate(lease platform.LeaseID) {
 	c.mu.Lock()
--- a/node/execute/execute.go
+++ b/node/execute/execute.go
@@ -57,7 +57,7 @@
 	o = o.withDefaults()
 	return &Executor{
 		opts:      o,
-		leases:    leaseCache{leases: o.Leases, retention: o.Retention},
+		leases:    newLeaseCache(o.Leases, o.Retention),
 		closing:   make(chan struct{}),
 		runsByKey: make(map[string]*run),
 	}
