Write a registration again that the store has refused

Cause: renewOrRegister kept the lease of a registration whose write failed and renewed it from then on. A renewal succeeds without a key, so that the node stayed unregistered until its next restart: other nodes did not count it in the fleet's budgets, nor send it requests as a coordinator.

Change: a lease counts as a registration only once the store has confirmed the write. The lease of an unconfirmed write is still revoked at the end.

TestRefusedRegistrationIsWrittenAgain before: no registration after 20 s, and lease 1 renewed, of which the write was refused. After: the third lease is registered and renewed.

--- a/node/directory/directory_test.go
+++ b/node/directory/directory_test.go
@@ -355,6 +355,47 @@
 	})
 }
 
+// refusingStore refuses the first writes of a registration, after it has granted their leases.
+type refusingStore struct {
+	*fakeStore
+	refusals int
+	// registered is the lease of the registration; 0 without one. renewed is the last lease that
+	// was renewed.
+	leases, registered, renewed uint64
+}
+
+func (s *refusingStore) Register(context.Context, coordinator.Member, time.Duration) (uint64, error) {
+	s.leases++
+	if s.leases <= uint64(s.refusals) {
+		return s.leases, errUnavailable
+	}
+	s.registered = s.leases
+	return s.leases, nil
+}
+
+func (s *refusingStore) Renew(_ context.Context, lease uint64) error {
+	s.renewed = lease
+	return nil
+}
+
+// Guards against a node that renews a lease without a registration, because the store has granted
+// the lease and refused the registration, and stays unregistered.
+func TestRefusedRegistrationIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &refusingStore{fakeStore: newFakeStore(), refusals: 2}
+		d := followAs(t, directory.Options{Store: s, Node: coordinator.Member{Node: "n1", Capacity: 1}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { d.Register(ctx) })
+		time.Sleep(20 * time.Second)
+		cancel()
+		done.Wait()
+		c.Check(s.registered, qt.Equals, uint64(3))
+		c.Check(s.renewed, qt.Equals, uint64(3))
+	})
+}
+
 // Guards against a grace period for removed replicas while the store is available.
 func TestRemovedReplicaIsDroppedImmediately(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/directory/register.go
+++ b/node/directory/register.go
@@ -19,19 +19,28 @@
 // Register keeps the node registered while it follows the store. It returns when ctx ends,
 // after it has revoked the registration.
 func (d *Directory) Register(ctx context.Context) {
-	var lease uint64
+	var r registration
 	for ctx.Err() == nil {
 		if !d.following.isOpen() {
-			d.deregister(ctx, lease)
-			lease = 0
+			d.deregister(ctx, r.lease)
+			r = registration{}
 			d.following.wait(ctx, true)
 			d.following.waitFor(ctx, false, d.opts.RegisterAfter)
 			continue
 		}
-		lease = d.renewOrRegister(ctx, lease)
+		r = d.renewOrRegister(ctx, r)
 		d.following.waitFor(ctx, false, renewInterval+rand.N(renewInterval/10))
 	}
-	d.deregister(ctx, lease)
+	d.deregister(ctx, r.lease)
+}
+
+// registration is the registration of this node in the store.
+type registration struct {
+	// lease is 0 without one.
+	lease uint64
+	// written is set once the store has confirmed the registration under the lease. Until then
+	// the lease may be without a key: to renew it would not register the node.
+	written bool
 }
 
 // deregister revokes the lease of a registration. Lease 0 means that there is none.
@@ -46,23 +55,22 @@
 	}
 }
 
-// renewOrRegister renews the lease, or registers the node under a new one. It returns the
-// lease, or 0 when registration failed.
-func (d *Directory) renewOrRegister(ctx context.Context, lease uint64) uint64 {
+// renewOrRegister renews the lease of a registration, or registers the node under a new one.
+func (d *Directory) renewOrRegister(ctx context.Context, r registration) registration {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if lease != 0 {
-		err := d.opts.Store.Renew(ctx, lease)
+	if r.written {
+		err := d.opts.Store.Renew(ctx, r.lease)
 		if !errors.Is(err, ErrLeaseEnded) {
 			// Without an answer the lease may still be valid; the next call renews it.
-			return lease
+			return r
 		}
 	}
 	lease, err := d.opts.Store.Register(ctx, d.opts.Node, registrationTTL)
 	if err != nil && ctx.Err() == nil {
 		d.opts.Log.WithError(err).Info("node registration failed: trying again")
 	}
-	return lease
+	return registration{lease: lease, written: err == nil}
 }
 
 // gate is a flag whose changes can be awaited. Safe for concurrent use.
