Answer HEAD requests whose replies state a length

What callers saw: 502 for each HEAD request whose replica states the length of the body that a GET would get.

Cause: readBody waited for a body of the stated length. A reply to HEAD has none, so that it counted as incomplete. Ordinary nodes send no HEAD requests.

TestHeadRequestIsAnswered, directly and through another node, before: 502 in place of 200. After: 200 with the replica's Content-Length and signature. The stand-in replica answers HEAD without a body.

--- a/node/backend/exchange.go
+++ b/node/backend/exchange.go
@@ -224,8 +224,12 @@
 	return reply, true
 }
 
-// readBody reads at most limit bytes.
+// readBody reads at most limit bytes. A reply to HEAD has no body, though it may state the length of
+// one.
 func readBody(resp *http.Response, limit int64) ([]byte, error) {
+	if resp.Body == http.NoBody {
+		return nil, nil
+	}
 	if resp.ContentLength < 0 || resp.ContentLength > limit {
 		return io.ReadAll(io.LimitReader(resp.Body, limit))
 	}
