Reserve no memory for bytes of a reply that have not arrived

What callers saw: nothing yet. A replica that states a length of 4 MB in each reply and sends a byte at a time holds 4 MB of the node for each of its requests until their deadlines; forty of them are the memory of the smallest VM, 160 MB, which is killed with all its requests.

Cause: readBody reserved the stated length, up to the limit, before it read.

Change: above 64 KB the buffer grows as the bytes arrive.

TestStatedLengthReservesNoMemory before: 4,194,972 bytes reserved for a reply of which one byte arrives. After: passed, below a tenth of that.

--- a/node/backend/exchange.go
+++ b/node/backend/exchange.go
@@ -224,13 +224,17 @@
 	return reply, true
 }
 
+// maxReservedBytes is the greatest stated length for which the memory is reserved at once. A replica
+// may state a length that it does not send.
+const maxReservedBytes = 64 << 10
+
 // readBody reads at most limit bytes. A reply to HEAD has no body, though it may state the length of
 // one.
 func readBody(resp *http.Response, limit int64) ([]byte, error) {
 	if resp.Body == http.NoBody {
 		return nil, nil
 	}
-	if resp.ContentLength < 0 || resp.ContentLength > limit {
+	if resp.ContentLength < 0 || resp.ContentLength > min(limit, maxReservedBytes) {
 		return io.ReadAll(io.LimitReader(resp.Body, limit))
 	}
 	body := make([]byte, resp.ContentLength)
