--- a/node/backend/endless_test.go
+++ b/node/backend/endless_test.go
@@ -29,7 +29,6 @@
 // endlessServer answers each request with prefix and then repeats filler until the client
 // closes the connection.
 type endlessServer struct {
-	listener       net.Listener
 	prefix, filler string
 	// pause is the time between two bytes of filler; 0 for as fast as the client reads.
 	pause time.Duration
@@ -37,19 +36,35 @@
 	sent, open atomic.Int64
 }
 
-func startEndless(c *qt.C, s *endlessServer) {
-	var err error
-	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
+// startServer serves each connection on a loopback address with serve, for the duration of the
+// test. It returns a client with a share of the connections, and the replica to send to.
+func startServer(c *qt.C, serve func(net.Conn), o backend.Options, share int) (*backend.Client, *config.Replica) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	go func() {
 		for {
-			conn, err := s.listener.Accept()
+			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go s.serve(conn)
+			go serve(conn)
 		}
 	}()
+	client := backend.New(o)
+	client.SetConnections("r", share)
+	c.Cleanup(func() {
+		client.Close()
+		_ = l.Close()
+	})
+	return client, &config.Replica{Name: "r", Address: l.Addr().String(), Service: &config.Service{Spec: &pb.Service{}}}
+}
+
+// startEndless starts a server that does not end its replies.
+func startEndless(c *qt.C, prefix, filler string, pause time.Duration) (*endlessServer, *backend.Client, *config.Replica) {
+	s := &endlessServer{prefix: prefix, filler: filler, pause: pause}
+	o := backend.Options{MaxResultBytes: endlessMaxResult, CloseTimeout: endlessCloseTimeout}
+	client, replica := startServer(c, s.serve, o, 1)
+	return s, client, replica
 }
 
 func (s *endlessServer) serve(conn net.Conn) {
@@ -131,15 +146,9 @@
 					t.Parallel()
 				}
 				c := qt.New(t)
-				s := &endlessServer{prefix: tc.prefix, filler: tc.filler, pause: pause}
-				startEndless(c, s)
-				defer func() { _ = s.listener.Close() }()
-				client := backend.New(backend.Options{MaxResultBytes: endlessMaxResult, CloseTimeout: endlessCloseTimeout})
-				defer client.Close()
-				client.SetConnections("r", 1)
+				s, client, replica := startEndless(c, tc.prefix, tc.filler, pause)
 				f := &backend.ForwardRequest{
-					Replica:   &config.Replica{Name: "r", Address: s.listener.Addr().String()},
-					RequestID: "q", Method: http.MethodGet, Target: "/", Host: "h",
+					Replica: replica, RequestID: "q", Method: http.MethodGet, Target: "/", Host: "h",
 					Header: http.Header{}, Deadline: time.Now().Add(endlessTimeLimit),
 				}
 				limit := time.AfterFunc(endlessTimeLimit, func() { f.Cancel(0) })
@@ -189,13 +198,7 @@
 				t.Run(fmt.Sprint(name, " ", tc.name, " ", pause), func(t *testing.T) {
 					t.Parallel()
 					c := qt.New(t)
-					s := &endlessServer{prefix: tc.prefix, filler: tc.filler, pause: pause}
-					startEndless(c, s)
-					defer func() { _ = s.listener.Close() }()
-					client := backend.New(backend.Options{MaxResultBytes: endlessMaxResult, CloseTimeout: endlessCloseTimeout})
-					defer client.Close()
-					client.SetConnections("r", 1)
-					replica := &config.Replica{Name: "r", Address: s.listener.Addr().String(), Service: &config.Service{Spec: &pb.Service{}}}
+					s, client, replica := startEndless(c, tc.prefix, tc.filler, pause)
 					ctx, cancel := context.WithTimeout(context.Background(), endlessTimeLimit)
 					defer cancel()
 					reply := send(ctx, client, replica)
--- a/node/backend/repeat_test.go
+++ b/node/backend/repeat_test.go
@@ -20,8 +20,9 @@
 // begins with the copy of the previous one. It refuses the first refusals requests and runs the
 // others.
 type copyServer struct {
-	listener net.Listener
 	refusals int
+	client   *backend.Client
+	replica  *config.Replica
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -30,20 +31,9 @@
 	conns int
 }
 
-func startCopyServer(c *qt.C, refusals int) *copyServer {
+func startCopyServer(c *qt.C, refusals, share int) *copyServer {
 	s := &copyServer{refusals: refusals, runs: make(map[string]int)}
-	var err error
-	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	go func() {
-		for {
-			conn, err := s.listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
+	s.client, s.replica = startServer(c, s.serve, backend.Options{}, share)
 	return s
 }
 
@@ -78,10 +68,9 @@
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok"
 }
 
-func (s *copyServer) forward(client *backend.Client, id string) backend.ForwardReply {
-	return client.Forward(&backend.ForwardRequest{
-		Replica:   &config.Replica{Name: "r", Address: s.listener.Addr().String()},
-		RequestID: id, Method: http.MethodPost, Target: "/", Host: "h",
+func (s *copyServer) forward(id string) backend.ForwardReply {
+	return s.client.Forward(&backend.ForwardRequest{
+		Replica: s.replica, RequestID: id, Method: http.MethodPost, Target: "/", Host: "h",
 		Header: http.Header{"Id": {id}}, Deadline: time.Now().Add(testTimeout),
 	}, idDialect{})
 }
@@ -93,17 +82,13 @@
 		t.Run(strconv.Itoa(share), func(t *testing.T) {
 			c := qt.New(t)
 			const refusals = 3
-			s := startCopyServer(c, refusals)
-			defer func() { _ = s.listener.Close() }()
-			client := backend.New(backend.Options{})
-			defer client.Close()
-			client.SetConnections("r", share)
+			s := startCopyServer(c, refusals, share)
 			for range refusals {
-				refused := s.forward(client, "q")
+				refused := s.forward("q")
 				c.Assert(refused.Status, qt.Equals, http.StatusServiceUnavailable)
 				c.Assert(refused.Evidence, qt.Equals, pb.Evidence_EVIDENCE_NOT_RUN)
 			}
-			last := s.forward(client, "q")
+			last := s.forward("q")
 			c.Check(last.Status, qt.Equals, http.StatusOK)
 			c.Check(last.Evidence, qt.Equals, pb.Evidence_EVIDENCE_RAN)
 			s.mu.Lock()
@@ -117,17 +102,13 @@
 // repeated IDs that wait although they may use another connection.
 func TestRepeatedIDsDoNotShareAConnection(t *testing.T) {
 	c := qt.New(t)
-	s := startCopyServer(c, 0)
-	defer func() { _ = s.listener.Close() }()
-	client := backend.New(backend.Options{})
-	defer client.Close()
-	client.SetConnections("r", 2)
+	s := startCopyServer(c, 0, 2)
 	const rounds = 20
 	var callers sync.WaitGroup
 	for range 4 {
 		callers.Go(func() {
 			for range rounds {
-				reply := s.forward(client, "q")
+				reply := s.forward("q")
 				c.Check(reply.Evidence, qt.Equals, pb.Evidence_EVIDENCE_RAN)
 			}
 		})
