Bound the kernel's buffers in the tests of replies without end

The bound on the bytes sent allowed for 12 MB of buffers, which another machine may exceed. Both sides now set theirs, and the bound is 2.1 MB in place of 12.5.

--- a/node/backend/endless_test.go
+++ b/node/backend/endless_test.go
@@ -59,16 +59,26 @@
 	return client, &config.Replica{Name: "r", Address: l.Addr().String(), Service: &config.Service{Spec: &pb.Service{}}}
 }
 
-// startEndless starts a server that does not end its replies.
+// startEndless starts a server that does not end its replies. The kernel buffers little of them.
 func startEndless(c *qt.C, prefix, filler string, pause time.Duration) (*endlessServer, *backend.Client, *config.Replica) {
 	s := &endlessServer{prefix: prefix, filler: filler, pause: pause}
 	o := backend.Options{MaxResultBytes: endlessMaxResult, CloseTimeout: endlessCloseTimeout}
+	o.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return conn, conn.(*net.TCPConn).SetReadBuffer(endlessBuffer)
+	}
 	client, replica := startServer(c, s.serve, o, 1)
 	return s, client, replica
 }
 
 func (s *endlessServer) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	if conn.(*net.TCPConn).SetWriteBuffer(endlessBuffer) != nil {
+		return
+	}
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return
 	}
@@ -131,9 +141,11 @@
 	endlessMaxResult    = 256 << 10
 	// endlessMaxAllocated allows for a buffer that doubles until it holds the greatest reply.
 	endlessMaxAllocated = 8 * endlessMaxResult
-	// endlessMaxSent allows for a reply of the greatest size, read once as a reply and once
-	// while the connection closes, and for what the kernel buffers.
-	endlessMaxSent = 2*endlessMaxResult + 12<<20
+	// endlessBuffer is the size of the kernel's buffer on each side, which may use twice as much.
+	endlessBuffer = 64 << 10
+	// endlessMaxSent allows for a reply of the greatest size, read once as a reply and once while
+	// the connection closes, in chunks of a byte, which take six bytes each, and for the buffers.
+	endlessMaxSent = 7*endlessMaxResult + 4*endlessBuffer + 64<<10
 )
 
 // Guards against a replica that sends bytes without end: its connection must be closed at the
