Pass the lease of a term to its renewals

Cause: the renewals of a term may outlast it by one call, and read the lease from the participant, which forgets it at the end of the term and takes another one with the next claim. A late renewal could so be sent with no lease, or with that of the next term.

Change: the renewals of a term get its lease when they begin.

Test: TestTermEndsWhileRenewalIsInProgress hangs the renewals until their timeout, so that terms end in the middle of one.

--- a/node/upgrader/harness_test.go
+++ b/node/upgrader/harness_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,6 +46,8 @@
 	away     bool
 	// loseAnswers makes writes take effect and fail.
 	loseAnswers bool
+	// hangRenewals makes renewals wait for the end of their context.
+	hangRenewals atomic.Bool
 }
 
 // expireLocked ends the lease when it is due. s.mu is held.
@@ -109,7 +112,11 @@
 	s.statuses = append(s.statuses, state)
 }
 
-func (s *store) Renew(_ context.Context, lease uint64) error {
+func (s *store) Renew(ctx context.Context, lease uint64) error {
+	if s.hangRenewals.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.callLocked(); err != nil {
--- a/node/upgrader/leader.go
+++ b/node/upgrader/leader.go
@@ -48,7 +48,8 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	l.log.WithField("term", l.term).Info("leading the upgrade")
-	go l.renew(ctx)
+	// The participant's lease changes once the term has ended, which a renewal may outlast.
+	go l.renew(ctx, l.lease)
 	for ctx.Err() == nil {
 		r, view, active := l.record(l.order)
 		switch {
@@ -87,12 +88,12 @@
 	return list
 }
 
-// renew renews the lease until ctx ends.
-func (l *leadership) renew(ctx context.Context) {
+// renew renews a lease until ctx ends.
+func (l *leadership) renew(ctx context.Context, lease uint64) {
 	for ctx.Err() == nil {
 		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
-		err := l.opts.Store.Renew(callCtx, l.lease)
+		err := l.opts.Store.Renew(callCtx, lease)
 		cancel()
 		switch {
 		case err == nil:
--- a/node/upgrader/upgrader_test.go
+++ b/node/upgrader/upgrader_test.go
@@ -97,3 +97,15 @@
 	})
 	qt.Assert(t, states, qt.DeepEquals, []upgrade.State{upgrade.Running})
 }
+
+// TestTermEndsWhileRenewalIsInProgress guards against a renewal that reads the lease while the
+// node takes the next one, which the race detector reports.
+func TestTermEndsWhileRenewalIsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, false)
+		defer f.close()
+		f.store.hangRenewals.Store(true)
+		time.Sleep(period)
+		f.store.set(func() { qt.Check(t, f.store.leases > 1, qt.IsTrue, qt.Commentf("no term has ended")) })
+	})
+}
