Prepare a view before requests are served from it

What callers saw: 503 for requests of a new route, and for requests that reached a node just as it began to follow the store.

Cause: the directory published a view before the forwarder had applied it. Requests in between were routed by the new configuration, to services whose replicas the forwarder did not know yet, and were refused for "no replica". With many services that takes milliseconds.

Change: Directory calls Options.Prepare before it publishes a view. The forwarder then applies a first view whole, and of a later one the services that have no replicas so far. Replicas of other services change after the view, as before, so that requests of the view in use keep theirs. A service takes its replicas and the gate of its upgrade in one step: the gate of a completed upgrade was removed before the old replicas were. That last part is by reading; a test of it did not fail on the code before and is not kept.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -36,7 +36,10 @@
 	// Feeds asks other nodes for changes, so that a node of a large fleet need not call the store
 	// for them; nil if every node follows the store itself.
 	Feeds Feeds
-	// Changed is called with each new view, one call at a time; may be nil.
+	// Prepare is called with each new view before View returns it; may be nil. Requests that are
+	// served from a view require the replicas in it.
+	Prepare func(*View)
+	// Changed is called with each new view once View returns it, one call at a time; may be nil.
 	Changed func(*View)
 	// Quarantined is called with each quarantined request that is read, before the view that
 	// follows it is published; may be nil.
@@ -281,12 +284,16 @@
 	return d.state.apply(now, r, now.Before(d.outageGraceUntil))
 }
 
-// publish stores a new view if something changed, and passes it to Options.Changed.
+// publish stores a new view if something changed, between the calls of Options.Prepare and
+// Options.Changed.
 func (d *Directory) publish(changed bool) {
 	previous, v := d.View(), d.nextView(changed)
 	if v == nil {
 		return
 	}
+	if d.opts.Prepare != nil {
+		d.opts.Prepare(v)
+	}
 	d.view.Store(v)
 	if previous == nil || previous.Index.Version != v.Index.Version {
 		d.opts.Log.WithFields(logrus.Fields{
--- a/node/directory/directory_test.go
+++ b/node/directory/directory_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -490,3 +491,29 @@
 		c.Assert(<-first, qt.Equals, 3)
 	})
 }
+
+// Guards against requests that are served from a view before the node is prepared for it.
+func TestViewIsUsedOnceItIsPrepared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newFakeStore()
+		s.put(configurationRecord(1))
+		s.put(replicaRecord("r1"))
+		var prepared atomic.Int64
+		d := followAs(t, directory.Options{
+			Store: s, Node: coordinator.Member{Node: "n1", Capacity: 1}, UpdateBound: updateBound,
+			Prepare: func(v *directory.View) {
+				time.Sleep(100 * time.Millisecond)
+				prepared.Store(int64(len(v.Replicas["timing"])))
+			},
+		})
+		for i := range 300 {
+			time.Sleep(10 * time.Millisecond)
+			c.Assert(int64(usableReplicas(d)) <= prepared.Load(), qt.IsTrue, qt.Commentf("the view is in use before it is prepared"))
+			if i == 100 {
+				s.put(replicaRecord("r2"))
+			}
+		}
+		c.Assert(usableReplicas(d), qt.Equals, 2)
+	})
+}
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -238,27 +238,72 @@
 	return s
 }
 
-// Update applies a new view. Connections to removed replicas are closed once they are
-// idle. The state of removed services and routes is deleted.
+// Prepare makes a new view servable before it is in use. Without it, requests that are served from
+// the view would find no replica of a service that is new in it.
+func (f *Forwarder) Prepare(v *directory.View) {
+	if f.opts.Source.View() == nil {
+		f.Update(v)
+		return
+	}
+	size := f.opts.Source.FleetSize()
+	for name := range v.Replicas {
+		if s := f.service(name); !s.hasReplicas() {
+			f.setConnections(name, v, size)
+			f.updateService(name, s, v)
+		}
+	}
+}
+
+// Update applies a new view, which is in use already unless it is the first one. Connections to
+// removed replicas are closed once they are idle. The state of removed services and routes is
+// deleted.
 func (f *Forwarder) Update(v *directory.View) {
 	f.reach.update(v)
-	f.updateGates(v)
 	size := f.opts.Source.FleetSize()
 	current := make(map[string]*registry.Replica)
 	for name, replicas := range v.Replicas {
-		limit := connectionShare(v.Index.Service(name), size)
+		f.service(name)
+		f.setConnections(name, v, size)
 		for _, r := range replicas {
 			current[r.ID] = r
-			f.opts.Backend.SetConnections(r.ID, limit)
 		}
-		f.closeRemoved(f.service(name).setReplicas(replicas), current)
 	}
 	f.replicas.Store(&current)
+	f.createOrdered(v)
 	for name, s := range f.removeUnconfigured(v) {
-		if len(v.Replicas[name]) == 0 {
-			f.closeRemoved(s.setReplicas(nil), current)
-		}
+		f.closeRemoved(f.updateService(name, s, v), current)
+	}
+}
+
+// setConnections sets the connection limits of the replicas of a service in a new view.
+func (f *Forwarder) setConnections(name string, v *directory.View, size float64) {
+	limit := connectionShare(v.Index.Service(name), size)
+	for _, r := range v.Replicas[name] {
+		f.opts.Backend.SetConnections(r.ID, limit)
+	}
+}
+
+// updateService applies the replicas and the upgrade of a service in a new view, and returns the
+// replicas before. They change together: without the gate of an upgrade that has ended, replicas
+// that the upgrade excludes would receive requests.
+func (f *Forwarder) updateService(name string, s *service, v *directory.View) (before []*registry.Replica) {
+	replicas := v.Replicas[name]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.updateGate(s, v.Upgrades[name])
+	before, s.replicas = s.replicas, replicas
+	s.balancer.SetReplicas(replicas)
+	if s.gate != nil {
+		s.gate.SetReplicas(replicas)
 	}
+	return before
+}
+
+// hasReplicas reports whether the service has usable replicas.
+func (s *service) hasReplicas() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.replicas) > 0
 }
 
 // removeUnconfigured deletes the state of routes that the configuration no longer contains,
@@ -281,18 +326,6 @@
 	return before
 }
 
-// setReplicas replaces the usable replicas and returns the previous ones.
-func (s *service) setReplicas(replicas []*registry.Replica) (before []*registry.Replica) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	before, s.replicas = s.replicas, replicas
-	s.balancer.SetReplicas(replicas)
-	if s.gate != nil {
-		s.gate.SetReplicas(replicas)
-	}
-	return before
-}
-
 // closeRemoved closes the connections to those previous replicas that are not in current.
 func (f *Forwarder) closeRemoved(previous []*registry.Replica, current map[string]*registry.Replica) {
 	for _, r := range previous {
--- a/node/forward/upgrade.go
+++ b/node/forward/upgrade.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"maps"
 	"math"
 	"net/http"
 	"time"
@@ -17,31 +16,26 @@
 	"github.com/carobmill/carobmill/policy/upstream"
 )
 
-// updateGates creates the gates of new orders and deletes those of ended ones.
-func (f *Forwarder) updateGates(v *directory.View) {
-	active := make(map[string]directory.Upgrade)
+// createOrdered creates the state of services with an order to carry out.
+func (f *Forwarder) createOrdered(v *directory.View) {
+	active := 0
 	for name, u := range v.Upgrades {
 		if u.Active() {
-			active[name] = u
+			active++
 			f.service(name)
 		}
 	}
-	f.mu.Lock()
-	services := maps.Clone(f.services)
-	f.mu.Unlock()
-	for name, s := range services {
-		u, ok := active[name]
-		s.mu.Lock()
-		switch {
-		case !ok:
-			s.gate = nil
-		case s.gate == nil || s.gate.Order().Revision != u.Order.Revision:
-			s.gate = upgrade.NewGate(time.Now(), u.Order, f.opts.Exposure, f.roundingOffset(u.Order), u.Witnessed)
-			s.gate.SetReplicas(v.Replicas[name])
-		}
-		s.mu.Unlock()
+	f.gates.Store(int64(active))
+}
+
+// updateGate creates the gate of a new order, and deletes that of one which has ended. s.mu is held.
+func (f *Forwarder) updateGate(s *service, u directory.Upgrade) {
+	switch {
+	case !u.Active():
+		s.gate = nil
+	case s.gate == nil || s.gate.Order().Revision != u.Order.Revision:
+		s.gate = upgrade.NewGate(time.Now(), u.Order, f.opts.Exposure, f.roundingOffset(u.Order), u.Witnessed)
 	}
-	f.gates.Store(int64(len(active)))
 }
 
 // roundingOffset returns a number from 0 to 1 that is fixed for this node and an order.
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -100,7 +100,8 @@
 
 		ReadsPerSecond: g.settings.GetForwarding().GetStoreReadsPerS(),
 		AnswerBound:    revocationBound(g.settings.GetForwarding()),
-		Changed:        g.updateView,
+		Prepare:        func(v *directory.View) { g.forwarder.Prepare(v) },
+		Changed:        g.viewChanged,
 		Quarantined:    func(f quarantine.Fingerprint) { g.forwarder.Refuse(f) },
 	}
 	if !self.FollowsStoreAtStart() {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// updateView applies a new view of the directory.
-func (g *Gateway) updateView(v *directory.View) {
+// viewChanged applies a new view of the directory.
+func (g *Gateway) viewChanged(v *directory.View) {
 	g.forwarder.Update(v)
 	g.exchange.SetReplicas(dataCentres(v))
 	g.upgrader.ViewChanged()
