Count the limit of an upgrade from its order

What operators saw: an order of 8 s for a good version was complete after 8.24 to 8.6 s.

Cause: the limit counts from the order. Nodes counted it from when they had seen the order, up to a watch interval of 1 s later.

Change: a node that sees an order in an answer without a wait counts from the time of its answer before, at most a watch interval. A watch that has waited was answered because of the change, so that the order is new.

--- a/node/directory/upgrade.go
+++ b/node/directory/upgrade.go
@@ -34,6 +34,7 @@
 		// Since an earlier revision, this node has known of no order that it could have
 		// spent a part of the exposure bound on.
 		u.current.Witnessed = s.revision != 0 && r.Revision > s.revision
+		u.current.OrderedAt = s.changedAfter
 	case UpgradeStatus:
 		u.current.Status = valueOrZero(r.Status)
 		if !r.Removed {
--- a/node/directory/upgrade_test.go
+++ b/node/directory/upgrade_test.go
@@ -49,3 +49,47 @@
 		c.Assert(d.View().Replicas["timing"][0].ID, qt.Equals, "r2")
 	})
 }
+
+// Guards against an upgrade that ends after its limit because nodes count the limit from when they
+// have seen the order.
+func TestAgeOfAnOrderIsKnown(t *testing.T) {
+	for name, test := range map[string]struct {
+		// quiet is the time without a change before the order. A pause of up to a second follows a
+		// watch that was answered early.
+		quiet time.Duration
+		// late is set if the order is written in a pause.
+		late bool
+	}{
+		"written between two watches": {quiet: 200 * time.Millisecond, late: true},
+		"written during a watch":      {quiet: 1500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newFakeStore()
+				s.put(configurationRecord(1))
+				s.put(versionRecord("r1", "v1"))
+				d := follow(t, s)
+				time.Sleep(1500 * time.Millisecond)
+				s.put(versionRecord("r2", "v1"))
+				time.Sleep(100 * time.Millisecond)
+				s.put(versionRecord("r3", "v1"))
+				time.Sleep(test.quiet)
+				written := time.Now()
+				s.put(directory.Record{Area: directory.AreaUpgrades, Name: "timing", Upgrade: directory.UpgradeOrder, Order: &upgrade.Order{
+					Service: "timing", Version: "v2", Period: time.Minute, Revision: 4,
+				}})
+				for d.View().Upgrades["timing"].Order.Revision == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				c.Check(time.Since(written) > 500*time.Millisecond, qt.Equals, test.late)
+				ordered := d.View().Upgrades["timing"].OrderedAt
+				c.Check(ordered.After(written), qt.IsFalse)
+				c.Check(written.Sub(ordered) <= time.Second, qt.IsTrue)
+				if !test.late {
+					c.Check(ordered, qt.Equals, written)
+				}
+			})
+		})
+	}
+}
--- a/node/directory/view.go
+++ b/node/directory/view.go
@@ -27,6 +27,9 @@
 	upgrade.Record
 	// Witnessed is set if this node followed the store when the order was written.
 	Witnessed bool
+	// OrderedAt is the earliest time at which the order may have been written, as far as this
+	// node knows. Nodes see an order up to a watch interval late.
+	OrderedAt time.Time
 }
 
 // state collects the store's records. Only the goroutine of Directory.Run uses it.
@@ -47,6 +50,8 @@
 	versions  *upgrade.Versions
 	heldUntil time.Time
 	revision  uint64
+	// changedAfter is the time after which the records that are being applied were written.
+	changedAfter time.Time
 	// newest is the highest revision of the applied records, which a read in progress may apply
 	// ahead of revision.
 	newest uint64
--- a/node/directory/watch.go
+++ b/node/directory/watch.go
@@ -24,6 +24,9 @@
 	// Options.UpdateBound.
 	minWatchInterval = time.Second
 	fleetWatchRate   = 30
+	// promptAnswer is the longest time after which the store answers a watch without having
+	// waited for changes.
+	promptAnswer = 100 * time.Millisecond
 	// minBackoff and maxBackoff bound the backoff after a failed call, before jitter.
 	// Without jitter all nodes call a recovered store at the same moment.
 	minBackoff = 100 * time.Millisecond
@@ -64,6 +67,7 @@
 
 // watchOnce waits for changes and applies them.
 func (d *Directory) watchOnce(ctx context.Context) error {
+	asked := time.Now()
 	page, err := d.nextChanges(ctx)
 	if reason := missedChanges(err); reason != "" {
 		d.opts.Log.WithField("revision", d.state.revision).Info(reason)
@@ -77,9 +81,11 @@
 	d.recordSuccess()
 	now := time.Now()
 	changed := false
+	d.state.changedAfter = d.changedAfter(asked, now)
 	for _, r := range page.Records {
 		changed = d.apply(now, r) || changed
 	}
+	d.state.changedAfter = time.Time{}
 	d.setRevision(page.Revision)
 	d.setAsOf(now)
 	d.updates.send()
@@ -87,6 +93,19 @@
 	return nil
 }
 
+// changedAfter returns the time after which the changes in an answer to a watch were written.
+func (d *Directory) changedAfter(asked, answered time.Time) time.Time {
+	if answered.Sub(asked) > promptAnswer {
+		// The watch has waited for the first change.
+		return answered
+	}
+	earliest := answered.Add(-d.watchInterval())
+	if asOf := d.currentAsOf(); asOf.After(earliest) {
+		return asOf
+	}
+	return earliest
+}
+
 // missedChanges returns why a watch can't learn the changes, so that a full read is required; empty
 // if it can.
 func missedChanges(err error) string {
--- a/node/forward/upgrade.go
+++ b/node/forward/upgrade.go
@@ -34,7 +34,11 @@
 	case !u.Active():
 		s.gate = nil
 	case s.gate == nil || s.gate.Order().Revision != u.Order.Revision:
-		s.gate = upgrade.NewGate(time.Now(), u.Order, f.opts.Exposure, f.roundingOffset(u.Order), u.Witnessed)
+		orderedAt := u.OrderedAt
+		if orderedAt.IsZero() {
+			orderedAt = time.Now()
+		}
+		s.gate = upgrade.NewGate(orderedAt, u.Order, f.opts.Exposure, f.roundingOffset(u.Order), u.Witnessed)
 	}
 }
 
--- a/policy/upgrade/gate.go
+++ b/policy/upgrade/gate.go
@@ -56,7 +56,8 @@
 	// witnessed is set if the node followed the store when the order was written. A node
 	// that has started since may have used its part of the slack before.
 	witnessed bool
-	seenAt    time.Time
+	// orderedAt is the earliest time at which the order may have been written.
+	orderedAt time.Time
 
 	term      uint64
 	phase     Phase
@@ -76,10 +77,11 @@
 	samples           map[sampleKey]*Sample
 }
 
-// NewGate returns the gate of an order that a node has seen now.
-func NewGate(now time.Time, o Order, b Bound, offset float64, witnessed bool) *Gate {
+// NewGate returns the gate of an order. orderedAt is the earliest time at which it may have been
+// written, as far as the node knows.
+func NewGate(orderedAt time.Time, o Order, b Bound, offset float64, witnessed bool) *Gate {
 	return &Gate{
-		order: o, bound: b, offset: offset, witnessed: witnessed, seenAt: now, credit: offset,
+		order: o, bound: b, offset: offset, witnessed: witnessed, orderedAt: orderedAt, credit: offset,
 		samples: make(map[sampleKey]*Sample),
 	}
 }
@@ -174,7 +176,7 @@
 	if g.phase == Canary {
 		// The slack is spent evenly over the phase, so that a fault that begins later is
 		// seen too.
-		spent := float64(now.Sub(g.seenAt)) / float64(LoadAt(g.order.Period))
+		spent := float64(now.Sub(g.orderedAt)) / float64(LoadAt(g.order.Period))
 		return canaryPart * (share + slack*min(1, spent))
 	}
 	if g.phase == Confirm {
@@ -261,9 +263,9 @@
 type Report struct {
 	Order, Term uint64
 	Phase       Phase
-	// Elapsed is the time since this node saw the order.
+	// Elapsed is the longest time since the order that agrees with what this node knows.
 	Elapsed time.Duration
-	// Requests counts this node's requests to the service since then, and Exposed its
+	// Requests counts this node's requests to the service since it saw the order, and Exposed its
 	// attempts at the new version.
 	Requests, Exposed int
 	// Trial holds the replicas on trial.
@@ -277,7 +279,7 @@
 // flight at replicas of other versions.
 func (g *Gate) Report(now time.Time, oldInFlight int) Report {
 	r := Report{
-		Order: g.order.Revision, Term: g.term, Phase: g.phase, Elapsed: now.Sub(g.seenAt),
+		Order: g.order.Revision, Term: g.term, Phase: g.phase, Elapsed: now.Sub(g.orderedAt),
 		Trial: g.trial, Requests: g.requests, Exposed: g.exposed, OldInFlight: oldInFlight,
 		Samples: make([]Sample, 0, len(g.samples)),
 	}
