--- a/node/directory/view.go
+++ b/node/directory/view.go
@@ -28,7 +28,8 @@
 	// Witnessed is set if this node followed the store when the order was written.
 	Witnessed bool
 	// OrderedAt is the earliest time at which the order may have been written, as far as this
-	// node knows. Nodes see an order up to a watch interval late.
+	// node knows. Nodes see an order up to a watch interval late. Zero if the node has not learned
+	// of the order from a watch.
 	OrderedAt time.Time
 }
 
--- a/node/forward/upgrade.go
+++ b/node/forward/upgrade.go
@@ -16,7 +16,7 @@
 	"github.com/carobmill/carobmill/policy/upstream"
 )
 
-// createOrdered creates the state of services with an order to carry out.
+// createOrdered creates the state of services with an order to carry out, and counts these.
 func (f *Forwarder) createOrdered(v *directory.View) {
 	active := 0
 	for name, u := range v.Upgrades {
