--- a/node/forward/upgrade_test.go
+++ b/node/forward/upgrade_test.go
@@ -95,12 +95,12 @@
 
 // Guards against a gate that counts the limit of an upgrade from when its node has seen the order.
 func TestUpgradeCountsFromItsOrder(t *testing.T) {
-	withHarness(t, map[string][]string{"s0": {"a", "c"}}, func(h *harness) {
-		h.order("s0")
-		u := h.view.Upgrades["s0"]
+	withHarness(t, map[string][]string{"s1": {"a", "c"}}, func(h *harness) {
+		h.order("s1")
+		u := h.view.Upgrades["s1"]
 		u.OrderedAt = time.Now().Add(-time.Second)
-		h.view.Upgrades["s0"] = u
-		r, known := h.node("a", nil).UpgradeReport("s0")
+		h.view.Upgrades["s1"] = u
+		r, known := h.node("a", nil).UpgradeReport("s1")
 		h.Assert(known, qt.IsTrue)
 		h.Assert(r.Elapsed, qt.Equals, time.Second)
 	})
