--- a/node/directory/read.go
+++ b/node/directory/read.go
@@ -12,8 +12,7 @@
 // store answers within 250 ms.
 const callTimeout = time.Second
 
-// maxPageTimeout bounds the call of a page of which only a part arrived within a shorter one. A
-// page of the greatest size takes 3.7 s on a link of 6 Mbit/s.
+// maxPageTimeout bounds the call of a page of which only a part arrived within a shorter one.
 const maxPageTimeout = 4 * time.Second
 
 // fullRead is a read of the whole store in progress. It outlives failed calls: in a large
