Add review case 5: a request sent late in a shutdown is cut

Cause: after SIGTERM a node reads new requests on kept connections for 3.3 s, and ends at 5.7 s with whatever is still at work. The rule excuses only requests sent up to 3 s after the SIGTERM.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -64,6 +64,7 @@
 
 var cases = map[string]func(*deployment) (rule string, violations []string, err error){
 	"copied-rejection": copiedRejection,
+	"late-request":     lateRequest,
 }
 
 func main() {
