--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/carobmill/carobmill/platform/platformtest"
 )
@@ -71,6 +74,25 @@
 	os.Exit(run())
 }
 
+// maxDuration bounds a case.
+const maxDuration = 117 * time.Second
+
+// endEarly ends the case at a signal, or when it takes too long, and all its processes with it.
+func endEarly(folder string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGQUIT)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(maxDuration):
+		}
+		killProcesses()
+		_ = os.RemoveAll(folder)
+		fmt.Fprintln(os.Stderr, "ended early")
+		os.Exit(exitCannotRun)
+	}()
+}
+
 // run runs the case that the first argument names and writes its record to the second.
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -82,11 +104,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitCannotRun
 	}
-	defer func() {
-		if os.Getenv("KEEP") == "" {
-			_ = os.RemoveAll(folder)
-		}
-	}()
+	defer func() { _ = os.RemoveAll(folder) }()
+	endEarly(folder)
 	rec, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -79,8 +79,33 @@
 	})), 0o600)
 }
 
+// processes holds the started processes, so that an early end of the case leaves none behind.
+var processes struct {
+	// mu guards the fields below, and is held while a process is started.
+	mu      sync.Mutex
+	running map[*os.Process]bool
+	ended   bool
+}
+
+var errEnded = errors.New("the case has ended")
+
+// killProcesses kills all processes, and lets no other one start.
+func killProcesses() {
+	processes.mu.Lock()
+	defer processes.mu.Unlock()
+	processes.ended = true
+	for p := range processes.running {
+		_ = p.Kill()
+	}
+}
+
 // start starts the process.
 func (n *node) start() error {
+	processes.mu.Lock()
+	defer processes.mu.Unlock()
+	if processes.ended {
+		return errEnded
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -95,8 +120,15 @@
 	}
 	exited := make(chan struct{})
 	n.process, n.exited = cmd, exited
+	if processes.running == nil {
+		processes.running = make(map[*os.Process]bool)
+	}
+	processes.running[cmd.Process] = true
 	go func() {
 		_ = cmd.Wait()
+		processes.mu.Lock()
+		delete(processes.running, cmd.Process)
+		processes.mu.Unlock()
 		_ = log.Close()
 		close(exited)
 	}()
@@ -112,17 +144,6 @@
 	}
 }
 
-// terminate sends SIGTERM, and SIGKILL after the grace period, and waits for the end.
-func (n *node) terminate() {
-	n.signal(syscall.SIGTERM)
-	select {
-	case <-n.exited:
-	case <-time.After(graceSeconds * time.Second):
-		n.signal(syscall.SIGKILL)
-		<-n.exited
-	}
-}
-
 // kill ends the process at once.
 func (n *node) kill() {
 	if n.process == nil {
