--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -87,6 +88,26 @@
 	ended   bool
 }
 
+// starts passes commands to the thread that starts them.
+var starts = sync.OnceValue(func() chan func() {
+	work := make(chan func())
+	go func() {
+		// Pdeathsig follows the thread that starts the process, so that it must last.
+		runtime.LockOSThread()
+		for f := range work {
+			f()
+		}
+	}()
+	return work
+})
+
+// startOnOneThread starts a command on a thread that lasts as long as this process.
+func startOnOneThread(cmd *exec.Cmd) error {
+	result := make(chan error)
+	starts() <- func() { result <- cmd.Start() }
+	return <-result
+}
+
 var errEnded = errors.New("the case has ended")
 
 // killProcesses kills all processes, and lets no other one start.
@@ -115,7 +136,9 @@
 	cmd := exec.Command("target/carobmill", "run", "-settings", n.settings)
 	cmd.Env = append(os.Environ(), "CAROBMILL_SETTINGS="+n.settings)
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	// A case that is killed can't end its nodes itself.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startOnOneThread(cmd); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
