--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -18,6 +18,8 @@
 	DefaultMaxBodyBytes   = 1 << 20
 	DefaultMaxResultBytes = 4 << 20
 	DefaultRingSize       = 4096
+	// DefaultTransferTimeoutMs exceeds the time that any caller's timeout leaves for a body.
+	DefaultTransferTimeoutMs = 30000
 	// DefaultPlatformCallsPerSecond is for a fleet of 8 nodes. The nodes of a fleet share
 	// the platform's rate limits; docs/operations/settings.md gives the value for a
 	// larger fleet.
@@ -104,6 +106,7 @@
 	l.MaxBodyBytes = orDefault(l.MaxBodyBytes, DefaultMaxBodyBytes)
 	l.MaxResultBytes = orDefault(l.MaxResultBytes, DefaultMaxResultBytes)
 	l.RingSize = orDefault(l.RingSize, DefaultRingSize)
+	l.TransferTimeoutMs = orDefault(l.TransferTimeoutMs, DefaultTransferTimeoutMs)
 	l.PlatformCallsPerSecond = orDefault(l.PlatformCallsPerSecond, DefaultPlatformCallsPerSecond)
 }
 
