Count heads with what they need once parsed

Callers saw a node that ended: heads of legal size with very many short lines, heads over the limit and heads without end used up its memory.

Cause: a head needs many times its bytes once it is parsed, and net/http parses it before any handler runs, so that nothing bounded how many there were. The limits of the configuration on heads and idle connections were not in force, and a node did not know its memory.

Change: node/intake wraps the connections of callers. The memory of a head is taken from one budget as its bytes arrive, before they are parsed, by its bytes and lines; policy/intake decides. Without room, the requests that have been incomplete for longer than a second give way, the earliest first, or the head is answered 503: no request whose head is incomplete has run.

A cap for each kind (bytes, lines, heads at a time) was weighed: each cap would have to be low enough for the worst mix of the others, and a single request of legal size with many lines has to be served.

--- a/node/command/command.go
+++ b/node/command/command.go
@@ -21,6 +21,7 @@
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 	"github.com/carobmill/carobmill/node/gateway"
+	"github.com/carobmill/carobmill/node/intake"
 	"github.com/carobmill/carobmill/node/node"
 	"github.com/carobmill/carobmill/node/schema"
 	"github.com/carobmill/carobmill/node/settings"
@@ -108,6 +109,7 @@
 	if reloads != nil {
 		go logReloads(reloads, log)
 	}
+	intake.LimitHeap(intake.MachineOf(s.GetLimits()))
 	n, err := newNode(s, log, newAdapter)
 	if err != nil {
 		log.WithError(err).Error("node failed to start")
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -12,6 +12,7 @@
 	"github.com/carobmill/carobmill/node/backend"
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/forward"
+	"github.com/carobmill/carobmill/node/intake"
 	"github.com/carobmill/carobmill/node/peer"
 	"github.com/carobmill/carobmill/node/quota"
 	"github.com/carobmill/carobmill/node/relay"
@@ -43,13 +44,8 @@
 	// maxGrantTTL is how long a node tests a version without an instruction of the node that
 	// leads the upgrade. A third of the rollback bound limits it further.
 	maxGrantTTL = 1500 * time.Millisecond
-	// maxHeaderBytes bounds a request's headers.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds the time to read a request's headers.
-	headerTimeout = 10 * time.Second
-	// idleTimeout closes idle connections of callers. Callers may reuse a connection that
-	// was idle for less.
-	idleTimeout = 2 * time.Minute
+	// adminHeaderTimeout bounds the time to read the headers of an operator's request.
+	adminHeaderTimeout = 10 * time.Second
 )
 
 // New builds a forwarding node from validated settings. It opens no listener or connection.
@@ -75,6 +71,8 @@
 		DataCentre: settings.GetDataCentre(),
 		Capacity:   settings.GetForwarding().GetCapacity(),
 	}
+	g.intake = intake.NewBudget(intake.MachineOf(settings.GetLimits()).Limits())
+	metrics.AddGaugeSource(g.intake.Report)
 	g.store = directory.CountCalls(adapter.Store())
 	g.buildDirectory(self, g.store)
 	g.buildQuota(self)
@@ -237,13 +235,14 @@
 
 // buildListeners builds the HTTP servers for callers and operators.
 func (g *Gateway) buildListeners(adapter Adapter, metrics http.Handler) {
-	g.callerServer = &http.Server{
-		Handler:           adapter.Handler(g),
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnContext:       withCallerConn,
-	}
+	g.callerServer = intake.NewServer(intake.Options{
+		Handler:        adapter.Handler(g),
+		Budget:         g.intake,
+		MaxHeaderBytes: func() int64 { return g.callerLimits().MaxHeaderBytes },
+		HeaderTimeout:  func() time.Duration { return g.callerLimits().HeaderTimeout },
+		IdleTimeout:    func() time.Duration { return g.callerLimits().IdleTimeout },
+		ConnContext:    withCallerConn,
+	})
 	g.adminServer = &http.Server{
 		Handler: admin.NewHandler(admin.Options{
 			Ready:   g.Ready,
@@ -251,6 +250,6 @@
 			Ring:    g.ring,
 			Metrics: metrics,
 		}),
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: adminHeaderTimeout,
 	}
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/carobmill/carobmill/node/backend"
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/forward"
+	"github.com/carobmill/carobmill/node/intake"
 	"github.com/carobmill/carobmill/node/observation"
 	"github.com/carobmill/carobmill/node/peer"
 	"github.com/carobmill/carobmill/node/quota"
@@ -67,7 +68,8 @@
 	exchange  *observation.Exchange
 	peers     *peer.Pool
 
-	callerServer *http.Server
+	intake       *intake.Budget
+	callerServer *intake.Server
 	adminServer  *http.Server
 	peerServer   *grpc.Server
 
@@ -172,10 +174,18 @@
 	return a
 }
 
+// callerLimits returns the limits of the configuration; zero without one.
+func (g *Gateway) callerLimits() route.Limits {
+	if v := g.directory.View(); v != nil {
+		return v.Index.Limits
+	}
+	return route.Limits{}
+}
+
 // MaxBodyBytes implements Service.
 func (g *Gateway) MaxBodyBytes() int64 {
-	if v := g.directory.View(); v != nil && v.Index.Limits.MaxBodyBytes > 0 {
-		return v.Index.Limits.MaxBodyBytes
+	if limit := g.callerLimits().MaxBodyBytes; limit > 0 {
+		return limit
 	}
 	if limit := g.relay.MaxBodyBytes(); limit > 0 {
 		return limit
--- a/node/gateway/roundtrip_linux.go
+++ b/node/gateway/roundtrip_linux.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -9,7 +10,7 @@
 
 // roundTrip returns the kernel's smoothed round-trip time of a TCP connection.
 func roundTrip(conn net.Conn) time.Duration {
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := conn.(syscall.Conn)
 	if !ok {
 		return defaultRoundTrip
 	}
--- /dev/null
+++ b/node/intake/machine.go
@@ -0,0 +1,27 @@
+package intake
+
+import (
+	"math"
+	"runtime/debug"
+
+	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	policy "github.com/carobmill/carobmill/policy/intake"
+)
+
+// MachineOf returns what the process may use: what the settings state, or else what the
+// operating system reports.
+func MachineOf(l *pb.Limits) policy.Machine {
+	m := policy.Machine{Memory: int64(l.GetMemoryMb()) << 20}
+	if m.Memory == 0 {
+		m.Memory = systemMemory()
+	}
+	return m
+}
+
+// LimitHeap makes the garbage collector run more often when the process approaches the memory
+// of its machine. A limit from the environment remains.
+func LimitHeap(m policy.Machine) {
+	if limit := m.HeapLimit(); limit > 0 && debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(limit)
+	}
+}
--- /dev/null
+++ b/node/intake/server.go
@@ -0,0 +1,148 @@
+package intake
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	policy "github.com/carobmill/carobmill/policy/intake"
+)
+
+// Options of a Server. The functions return the limits in force; 0 means that the
+// configuration sets none.
+type Options struct {
+	Handler http.Handler
+	Budget  *Budget
+	// MaxHeaderBytes bounds the head of a request, and HeaderTimeout the time from its first
+	// byte to its last.
+	MaxHeaderBytes func() int64
+	HeaderTimeout  func() time.Duration
+	// IdleTimeout bounds the time between two requests of a connection.
+	IdleTimeout func() time.Duration
+	// ConnContext returns the context of the requests on a connection; may be nil.
+	ConnContext func(ctx context.Context, conn net.Conn) context.Context
+}
+
+const (
+	// defaultMaxHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout apply where the
+	// configuration sets no limit. They also bound the limits of the configuration.
+	defaultMaxHeaderBytes = 64 << 10
+	defaultHeaderTimeout  = 10 * time.Second
+	defaultIdleTimeout    = 2 * time.Minute
+)
+
+func (o *Options) maxHeaderBytes() int64 {
+	if o.MaxHeaderBytes != nil {
+		if limit := o.MaxHeaderBytes(); limit > 0 {
+			return min(limit, defaultMaxHeaderBytes)
+		}
+	}
+	return defaultMaxHeaderBytes
+}
+
+func (o *Options) headerTimeout() time.Duration {
+	return timeout(o.HeaderTimeout, defaultHeaderTimeout)
+}
+
+func (o *Options) idleTimeout() time.Duration {
+	return timeout(o.IdleTimeout, defaultIdleTimeout)
+}
+
+// timeout returns the timeout of the configuration, bounded by a default.
+func timeout(configured func() time.Duration, byDefault time.Duration) time.Duration {
+	if configured != nil {
+		if d := configured(); d > 0 {
+			return min(d, byDefault)
+		}
+	}
+	return byDefault
+}
+
+// Server is an HTTP server the heads of whose requests hold no more than a budget.
+type Server struct {
+	*http.Server
+	options Options
+}
+
+// NewServer returns a server without listeners.
+func NewServer(o Options) *Server {
+	s := &Server{options: o}
+	s.Server = &http.Server{
+		Handler: http.HandlerFunc(s.serve),
+		// A Conn rejects a head that exceeds its limit before this server does.
+		MaxHeaderBytes:    defaultMaxHeaderBytes + 2*headSlop,
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		ConnContext:       s.connContext,
+		ConnState:         connState,
+	}
+	return s
+}
+
+// Serve accepts connections until the listener fails or the server is closed.
+func (s *Server) Serve(l net.Listener) error {
+	return s.Server.Serve(&listener{Listener: l, options: &s.options})
+}
+
+func (s *Server) connContext(ctx context.Context, conn net.Conn) context.Context {
+	if s.options.ConnContext != nil {
+		ctx = s.options.ConnContext(ctx, conn)
+	}
+	return withConn(ctx, conn)
+}
+
+// connState ends a request when its answer has been written.
+func connState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c.endRequest()
+	}
+}
+
+// listener adds connections to a budget.
+type listener struct {
+	net.Listener
+	options *Options
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: conn, options: l.options}
+	l.options.Budget.admit(c)
+	return c, nil
+}
+
+// serve passes a request to the handler if there is memory for its head.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*Conn)
+	if !ok {
+		http.Error(w, "connection without a budget", http.StatusInternalServerError)
+		return
+	}
+	if c.beginRequest(r.Header) && c.reservation.setPhase(policy.Serving) {
+		s.options.Handler.ServeHTTP(w, r)
+		return
+	}
+	if c.reservation.evicted() {
+		// The deadlines of the connection have passed, so that w cannot be used.
+		c.answer(http.StatusServiceUnavailable)
+		panic(http.ErrAbortHandler)
+	}
+	s.reject(w, c, http.StatusServiceUnavailable)
+}
+
+// reject answers a request that is not passed to the handler.
+func (s *Server) reject(w http.ResponseWriter, c *Conn, status int) {
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
+	w.Header().Set("Connection", "close")
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTimeout))
+	// net/http discards the remainder of the body up to this deadline.
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	w.WriteHeader(status)
+}
--- /dev/null
+++ b/policy/intake/limits.go
@@ -0,0 +1,65 @@
+// Package intake decides which requests of callers a node accepts. One ledger counts all
+// memory that callers make the node hold. When it runs short, the requests that have been
+// incomplete for longest are rejected.
+package intake
+
+const (
+	// ConnectionCost is the memory of an open connection without a request: its goroutine and
+	// its buffers.
+	ConnectionCost = 32 << 10
+	// OrdinaryRequest is the memory up to which a request may use all of Limits.Memory.
+	OrdinaryRequest = 64 << 10
+	// LargeShare is the share of Limits.Memory that connections and larger requests may use.
+	// The remainder is reserved for ordinary requests.
+	LargeShare = 0.75
+
+	// memoryShare is the share of a node's memory that callers may use. The remainder is for
+	// the exchange with peers and operators, for replies, and for garbage that has not been
+	// collected yet.
+	memoryShare = 1.0 / 3
+	// heapShare is the share of a node's memory from which the garbage collector runs more
+	// often.
+	heapShare = 0.65
+)
+
+// Machine is what a process may use. Zero values mean no bound.
+type Machine struct {
+	// Memory is in bytes.
+	Memory int64
+}
+
+// Limits bounds what callers make a node hold. Zero values mean no bound.
+type Limits struct {
+	// Memory is in bytes.
+	Memory int64
+}
+
+// Limits returns the limits of callers at a node.
+func (m Machine) Limits() Limits {
+	return Limits{Memory: int64(float64(m.Memory) * memoryShare)}
+}
+
+// HeapLimit returns the limit of the garbage collector in bytes; 0 for none.
+func (m Machine) HeapLimit() int64 { return int64(float64(m.Memory) * heapShare) }
+
+const (
+	// headByteCost covers a byte of a head in the read buffer, in the line that grows with it
+	// and in the parsed value.
+	headByteCost = 4
+	// headLineCost covers the entry of a header line in the map of headers and its slice of
+	// values.
+	headLineCost = 200
+	// copiedHeaderCost covers the entry of a header in a copy of the map, and in the sorted
+	// list that is written from it.
+	copiedHeaderCost = 128
+	// ordinaryHeaders is the number of headers whose copies are not counted.
+	ordinaryHeaders = 32
+)
+
+// HeadCost returns the memory of a head with this many bytes and lines, once it is parsed.
+func HeadCost(size, lines int) int64 { return int64(size)*headByteCost + int64(lines)*headLineCost }
+
+// CopiesCost returns the memory of copies of a request's map of headers.
+func CopiesCost(copies, headers int) int64 {
+	return int64(copies) * int64(max(0, headers-ordinaryHeaders)) * copiedHeaderCost
+}
--- /dev/null
+++ b/policy/intake/limits_test.go
@@ -0,0 +1,44 @@
+package intake_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/carobmill/carobmill/policy/intake"
+)
+
+const megabyte = 1 << 20
+
+// Guards against limits that together exceed the machine.
+func TestLimitsLeaveRoomForTheNode(t *testing.T) {
+	c := qt.New(t)
+	for _, m := range []intake.Machine{
+		{Memory: 64 * megabyte},
+		{Memory: 184 * megabyte},
+		{Memory: 284 * megabyte},
+		{Memory: 536 * megabyte},
+		{Memory: 24 << 30},
+	} {
+		l := m.Limits()
+		c.Check(l.Memory <= m.HeapLimit()*2/3, qt.IsTrue, qt.Commentf("%+v: %+v", m, l))
+	}
+}
+
+func TestUnknownMachineHasNoLimits(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(intake.Machine{}.Limits(), qt.Equals, intake.Limits{})
+	c.Assert(intake.Machine{}.HeapLimit(), qt.Equals, int64(0))
+}
+
+// Guards against limits that reject a single request of the largest legal size.
+func TestLargestLegalRequestHasRoom(t *testing.T) {
+	c := qt.New(t)
+	const maxHeader, maxBody = 16384, 262144
+	shortLines := maxHeader / 4
+	for _, m := range []struct{ megabytes, shards int64 }{{64, 25}, {184, 90}, {536, 225}} {
+		cost := intake.HeadCost(maxHeader, shortLines) + intake.CopiesCost(int(m.shards), shortLines) + maxBody
+		room := float64(intake.Machine{Memory: m.megabytes * megabyte}.Limits().Memory) * intake.LargeShare
+		c.Check(float64(cost) < room, qt.IsTrue, qt.Commentf("%+v: %d of %.0f", m, cost, room))
+	}
+}
