Read bodies within the budget of callers and a time limit

Callers saw a node that ended: many large bodies of legal size, whole or piece by piece, most stopping just short of their end and staying open, used up its memory.

Cause: the adapter read each body with io.ReadAll, which grows it beyond its size, for as long as the caller kept the connection open. Nothing bounded the bodies that were held at the same time.

Change: node/intake reads the body before the handler runs. Each growth is taken from the budget before the memory is used, and a body of a stated length never grows beyond it. Both are true: a request reaches the handler, and a backend server, only with its whole body. A complete request is not interrupted.

--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -236,12 +236,14 @@
 // buildListeners builds the HTTP servers for callers and operators.
 func (g *Gateway) buildListeners(adapter Adapter, metrics http.Handler) {
 	g.callerServer = intake.NewServer(intake.Options{
-		Handler:        adapter.Handler(g),
-		Budget:         g.intake,
-		MaxHeaderBytes: func() int64 { return g.callerLimits().MaxHeaderBytes },
-		HeaderTimeout:  func() time.Duration { return g.callerLimits().HeaderTimeout },
-		IdleTimeout:    func() time.Duration { return g.callerLimits().IdleTimeout },
-		ConnContext:    withCallerConn,
+		Handler:         adapter.Handler(g),
+		Budget:          g.intake,
+		MaxHeaderBytes:  func() int64 { return g.callerLimits().MaxHeaderBytes },
+		HeaderTimeout:   func() time.Duration { return g.callerLimits().HeaderTimeout },
+		MaxBodyBytes:    g.maxBodyBytes,
+		IdleTimeout:     func() time.Duration { return g.callerLimits().IdleTimeout },
+		TransferTimeout: time.Duration(g.settings.GetLimits().GetTransferTimeoutMs()) * time.Millisecond,
+		ConnContext:     withCallerConn,
 	})
 	g.adminServer = &http.Server{
 		Handler: admin.NewHandler(admin.Options{
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -43,8 +43,6 @@
 // Service answers callers' requests.
 type Service interface {
 	Serve(ctx context.Context, req *forward.Request) forward.Answer
-	// MaxBodyBytes bounds the body of a request.
-	MaxBodyBytes() int64
 	// Closing reports whether a caller's connection is to be closed after its answer.
 	Closing() bool
 }
@@ -182,8 +180,8 @@
 	return route.Limits{}
 }
 
-// MaxBodyBytes implements Service.
-func (g *Gateway) MaxBodyBytes() int64 {
+// maxBodyBytes bounds the body of a request.
+func (g *Gateway) maxBodyBytes() int64 {
 	if limit := g.callerLimits().MaxBodyBytes; limit > 0 {
 		return limit
 	}
--- /dev/null
+++ b/node/intake/body.go
@@ -0,0 +1,87 @@
+package intake
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// firstBodyBytes is the memory for a body before any of its bytes have arrived.
+const firstBodyBytes = 4 << 10
+
+var (
+	errBodyTooLarge = errors.New("body exceeds the limit")
+	errNoMemory     = errors.New("no memory for the body")
+)
+
+// body is the complete body of a request.
+type body struct {
+	*bytes.Reader
+	data []byte
+}
+
+// Close implements io.Closer.
+func (*body) Close() error { return nil }
+
+// Body returns the complete body of a request that a Server has passed to its handler.
+func Body(r *http.Request) []byte {
+	if b, ok := r.Body.(*body); ok {
+		return b.data
+	}
+	return nil
+}
+
+// readBody reads a whole body. take is called with the memory in bytes before it is used.
+func readBody(r *http.Request, limit int64, take func(int64) bool) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, errBodyTooLarge
+	}
+	// One byte more than the limit shows that a body without a length is too large.
+	most := limit + 1
+	if r.ContentLength > 0 {
+		most = r.ContentLength
+	}
+	var data []byte
+	for {
+		if len(data) == cap(data) {
+			if int64(len(data)) == most {
+				break
+			}
+			size := min(max(int64(2*cap(data)), firstBodyBytes), most)
+			if !take(size - int64(cap(data))) {
+				return nil, errNoMemory
+			}
+			grown := make([]byte, len(data), size)
+			copy(grown, data)
+			data = grown
+		}
+		n, err := r.Body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if int64(len(data)) > limit {
+		return nil, errBodyTooLarge
+	}
+	return data, nil
+}
+
+// bodyStatus returns the status for an error of readBody.
+func bodyStatus(err error) int {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoMemory):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
+}
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -21,10 +21,11 @@
 )
 
 const (
-	maxHeaderBytes = 8 << 10
-	maxBodyBytes   = 64 << 10
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 15 * time.Second
+	maxHeaderBytes  = 8 << 10
+	maxBodyBytes    = 64 << 10
+	headerTimeout   = 3 * time.Second
+	idleTimeout     = 15 * time.Second
+	transferTimeout = 20 * time.Second
 
 	serverAddress = "10.0.0.1:80"
 )
@@ -50,11 +51,13 @@
 		listener, err := network.Listen("node", serverAddress)
 		h.Assert(err, qt.IsNil)
 		server := intake.NewServer(intake.Options{
-			Handler:        http.HandlerFunc(h.serve),
-			Budget:         h.budget,
-			MaxHeaderBytes: func() int64 { return maxHeaderBytes },
-			HeaderTimeout:  func() time.Duration { return headerTimeout },
-			IdleTimeout:    func() time.Duration { return idleTimeout },
+			Handler:         http.HandlerFunc(h.serve),
+			Budget:          h.budget,
+			MaxHeaderBytes:  func() int64 { return maxHeaderBytes },
+			HeaderTimeout:   func() time.Duration { return headerTimeout },
+			MaxBodyBytes:    func() int64 { return maxBodyBytes },
+			IdleTimeout:     func() time.Duration { return idleTimeout },
+			TransferTimeout: transferTimeout,
 		})
 		go func() { _ = server.Serve(listener) }()
 		test(h)
@@ -69,8 +72,7 @@
 func (h *harness) serve(w http.ResponseWriter, r *http.Request) {
 	h.served.Add(1)
 	time.Sleep(time.Duration(h.work.Load()))
-	body, _ := io.ReadAll(r.Body)
-	_, _ = fmt.Fprintf(w, "%d bytes", len(body))
+	_, _ = fmt.Fprintf(w, "%d bytes", len(intake.Body(r)))
 }
 
 func (h *harness) gauge(name string) (value float64) {
@@ -168,6 +170,20 @@
 	})
 }
 
+// Guards against a handler that waits longer for its answer than the transfer of one may take.
+func TestSlowAnswerIsNotInterrupted(t *testing.T) {
+	run(t, wide, func(h *harness) {
+		h.work.Store(int64(3 * transferTimeout))
+		for _, request := range []string{get + "\r\n", post(3) + "012"} {
+			c := h.connect()
+			c.send(request)
+			resp, _ := c.answer()
+			h.Assert(resp, qt.IsNotNil)
+			h.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+		}
+	})
+}
+
 // Guards against heads over the limit that are read to their end.
 func TestHeadOverTheLimitIsRejected(t *testing.T) {
 	run(t, wide, func(h *harness) {
@@ -208,6 +224,43 @@
 	})
 }
 
+// Guards against bodies that are held without a time limit, also while pieces arrive.
+func TestBodyWithoutEndIsRejected(t *testing.T) {
+	run(t, wide, func(h *harness) {
+		for _, head := range []string{post(1000), "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"} {
+			c := h.connect()
+			c.send(head)
+			began := time.Now()
+			go func() {
+				for range 30 {
+					c.send("1\r\n0\r\n")
+					time.Sleep(time.Second)
+				}
+			}()
+			c.checkAnswer(http.StatusRequestTimeout, "")
+			h.Check(time.Since(began) <= transferTimeout+2*time.Second, qt.IsTrue)
+			time.Sleep(30 * time.Second)
+		}
+		h.Check(h.served.Load(), qt.Equals, int64(0))
+	})
+}
+
+// Guards against a body over the limit that is read to its end.
+func TestBodyOverTheLimitIsRejected(t *testing.T) {
+	run(t, wide, func(h *harness) {
+		for _, request := range []string{
+			post(maxBodyBytes + 1),
+			fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+				maxBodyBytes+1, strings.Repeat("b", maxBodyBytes+1)),
+		} {
+			c := h.connect()
+			c.send(request)
+			c.checkAnswer(http.StatusRequestEntityTooLarge, "")
+		}
+		h.Check(h.served.Load(), qt.Equals, int64(0))
+	})
+}
+
 // oddHead is a head of legal size whose lines need many times their bytes.
 var oddHead = get + strings.Repeat("a:\r\n", (maxHeaderBytes-len(get))/4)
 
@@ -251,6 +304,26 @@
 	})
 }
 
+// Guards against stalled bodies that keep out other requests, and against an answer other than
+// "not run" to those that give way.
+func TestStalledBodyGivesWayAsNotRun(t *testing.T) {
+	run(t, few, func(h *harness) {
+		var stalled []*client
+		for range 25 {
+			c := h.connect()
+			c.send(post(maxBodyBytes) + strings.Repeat("b", maxBodyBytes-1))
+			stalled = append(stalled, c)
+		}
+		time.Sleep(2 * time.Second)
+		c := h.connect()
+		c.send(post(maxBodyBytes) + strings.Repeat("b", maxBodyBytes))
+		c.checkAnswer(http.StatusOK, fmt.Sprint(maxBodyBytes, " bytes"))
+		stalled[0].checkAnswer(http.StatusServiceUnavailable, "")
+		stalled[0].send("b")
+		h.Check(h.served.Load(), qt.Equals, int64(1))
+	})
+}
+
 // Guards against connections that stay open without a request.
 func TestIdleConnectionIsClosed(t *testing.T) {
 	run(t, wide, func(h *harness) {
--- a/node/intake/server.go
+++ b/node/intake/server.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -18,8 +19,12 @@
 	// byte to its last.
 	MaxHeaderBytes func() int64
 	HeaderTimeout  func() time.Duration
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes func() int64
 	// IdleTimeout bounds the time between two requests of a connection.
 	IdleTimeout func() time.Duration
+	// TransferTimeout bounds the reading of a body.
+	TransferTimeout time.Duration
 	// ConnContext returns the context of the requests on a connection; may be nil.
 	ConnContext func(ctx context.Context, conn net.Conn) context.Context
 }
@@ -59,7 +64,8 @@
 	return byDefault
 }
 
-// Server is an HTTP server the heads of whose requests hold no more than a budget.
+// Server is an HTTP server whose requests hold no more than a budget. Its handler receives
+// complete requests; Body returns their bodies.
 type Server struct {
 	*http.Server
 	options Options
@@ -116,14 +122,16 @@
 	return c, nil
 }
 
-// serve passes a request to the handler if there is memory for its head.
+// serve reads the body of a request and passes the request to the handler.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*Conn)
 	if !ok {
 		http.Error(w, "connection without a budget", http.StatusInternalServerError)
 		return
 	}
-	if c.beginRequest(r.Header) && c.reservation.setPhase(policy.Serving) {
+	data, err := s.receive(c, r)
+	if err == nil && c.reservation.setPhase(policy.Serving) {
+		r.Body = &body{Reader: bytes.NewReader(data), data: data}
 		s.options.Handler.ServeHTTP(w, r)
 		return
 	}
@@ -132,7 +140,22 @@
 		c.answer(http.StatusServiceUnavailable)
 		panic(http.ErrAbortHandler)
 	}
-	s.reject(w, c, http.StatusServiceUnavailable)
+	s.reject(w, c, bodyStatus(err))
+}
+
+// receive returns the body of a request.
+func (s *Server) receive(c *Conn, r *http.Request) ([]byte, error) {
+	if !c.beginRequest(r.Header) {
+		return nil, errNoMemory
+	}
+	if r.Body == http.NoBody {
+		// net/http reads from the connection already, to notice when the caller disconnects.
+		return nil, nil
+	}
+	// net/http removes the deadline at the end of the body. An error means that the connection
+	// is closed; the next read reports it.
+	_ = c.SetReadDeadline(time.Now().Add(s.options.TransferTimeout))
+	return readBody(r, s.options.MaxBodyBytes(), c.reservation.Take)
 }
 
 // reject answers a request that is not passed to the handler.
