Bound the connections of callers

Callers saw a node without a descriptor to spare: clients that opened many connections and sent nothing, a part of a request or one request, or that read no answers, kept them open for up to two minutes or for good.

Cause: the listener accepted every connection, and a node did not know its descriptors. The writing of an answer had no time limit.

Change: callers may use half of the descriptors (limits.max_descriptors, or the process's own limit), and half of their memory for connections without a request. A new connection beyond that replaces the one that has waited for its caller for longest, over a second; else the one that has been idle for longest; complete requests are not interrupted. limits.transfer_timeout_ms also bounds the writing of an answer.

Rejecting new connections at the limit was weighed: a crowd that holds its connections would then keep out every ordinary caller.

--- a/node/intake/budget.go
+++ b/node/intake/budget.go
@@ -1,5 +1,5 @@
-// Package intake reads callers' requests within the memory of the node. policy/intake
-// decides; this package does the I/O.
+// Package intake accepts callers' connections and reads their requests within the memory and
+// the descriptors of the node. policy/intake decides; this package does the I/O.
 package intake
 
 import (
@@ -27,15 +27,22 @@
 	b.mu.Unlock()
 	set("caller_connections", float64(c.Connections))
 	set("caller_memory_bytes", float64(c.Memory))
-	set("caller_requests_evicted", float64(c.Evicted))
+	set("caller_connections_refused", float64(c.Refused))
+	set("caller_connections_evicted_idle", float64(c.EvictedIdle))
+	set("caller_connections_evicted_incomplete", float64(c.EvictedIncomplete))
 	set("caller_requests_without_memory", float64(c.Rejected))
 }
 
-// admit adds a connection.
-func (b *Budget) admit(c *Conn) {
+// admit adds a connection. It returns false if there is no room.
+func (b *Budget) admit(c *Conn) bool {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	c.reservation = &Reservation{budget: b, holder: b.ledger.Open(time.Now(), c)}
+	h, evicted, ok := b.ledger.Open(time.Now(), c)
+	b.mu.Unlock()
+	if evicted != nil {
+		evicted.Owner.(*Conn).interrupt()
+	}
+	c.reservation = &Reservation{budget: b, holder: h}
+	return ok
 }
 
 // Reservation is the part of a budget that one request holds.
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -138,7 +138,7 @@
 }
 
 // wide is a budget that holds any crowd of these tests.
-var wide = policy.Limits{Memory: 64 << 20}
+var wide = policy.Limits{Memory: 64 << 20, Connections: 100}
 
 func TestRequestsOfAConnectionAreServed(t *testing.T) {
 	run(t, wide, func(h *harness) {
@@ -265,7 +265,7 @@
 var oddHead = get + strings.Repeat("a:\r\n", (maxHeaderBytes-len(get))/4)
 
 // few is a budget that holds few heads such as oddHead.
-var few = policy.Limits{Memory: 2 << 20}
+var few = policy.Limits{Memory: 2 << 20, Connections: 30}
 
 // Guards against heads without room in the budget that are served or that stay without an answer.
 func TestHeadWithoutMemoryIsRejectedAsNotRun(t *testing.T) {
@@ -291,7 +291,7 @@
 
 // Guards against a pipelined head whose bytes were counted for the request before it.
 func TestPipelinedHeadIsCounted(t *testing.T) {
-	run(t, policy.Limits{Memory: 256 << 10}, func(h *harness) {
+	run(t, policy.Limits{Memory: 256 << 10, Connections: 3}, func(h *harness) {
 		h.work.Store(int64(time.Second))
 		c := h.connect()
 		odd := get + strings.Repeat("a:\r\n", 600) + "\r\n"
@@ -324,6 +324,30 @@
 	})
 }
 
+// Guards against a crowd of connections that keeps out ordinary callers, and against idle
+// connections that are closed after they sent a request.
+func TestNewConnectionsFindRoom(t *testing.T) {
+	run(t, policy.Limits{Connections: 10}, func(h *harness) {
+		h.work.Store(int64(time.Minute))
+		served := h.connect()
+		served.send(get + "\r\n")
+		time.Sleep(time.Second)
+		h.work.Store(int64(0))
+		idle := h.connect()
+		idle.send(get + "\r\n")
+		idle.checkAnswer(http.StatusOK, "0 bytes")
+		for range 100 {
+			c := h.connect()
+			c.send("G")
+		}
+		ordinary := h.connect()
+		ordinary.send(get + "\r\n")
+		ordinary.checkAnswer(http.StatusOK, "0 bytes")
+		h.Check(h.gauge("caller_connections"), qt.Equals, 10.0)
+		served.checkAnswer(http.StatusOK, "0 bytes")
+	})
+}
+
 // Guards against connections that stay open without a request.
 func TestIdleConnectionIsClosed(t *testing.T) {
 	run(t, wide, func(h *harness) {
--- a/node/intake/server.go
+++ b/node/intake/server.go
@@ -23,7 +23,7 @@
 	MaxBodyBytes func() int64
 	// IdleTimeout bounds the time between two requests of a connection.
 	IdleTimeout func() time.Duration
-	// TransferTimeout bounds the reading of a body.
+	// TransferTimeout bounds the reading of a body and the writing of an answer.
 	TransferTimeout time.Duration
 	// ConnContext returns the context of the requests on a connection; may be nil.
 	ConnContext func(ctx context.Context, conn net.Conn) context.Context
@@ -64,7 +64,7 @@
 	return byDefault
 }
 
-// Server is an HTTP server whose requests hold no more than a budget. Its handler receives
+// Server is an HTTP server whose callers hold no more than a budget. Its handler receives
 // complete requests; Body returns their bodies.
 type Server struct {
 	*http.Server
@@ -105,21 +105,26 @@
 	}
 }
 
-// listener adds connections to a budget.
+// listener accepts connections within a budget.
 type listener struct {
 	net.Listener
 	options *Options
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections for which there is no room.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{Conn: conn, options: l.options}
+		if l.options.Budget.admit(c) {
+			return c, nil
+		}
+		// The caller may repeat any request, since none was read.
+		_ = conn.Close()
 	}
-	c := &Conn{Conn: conn, options: l.options}
-	l.options.Budget.admit(c)
-	return c, nil
 }
 
 // serve reads the body of a request and passes the request to the handler.
@@ -132,7 +137,7 @@
 	data, err := s.receive(c, r)
 	if err == nil && c.reservation.setPhase(policy.Serving) {
 		r.Body = &body{Reader: bytes.NewReader(data), data: data}
-		s.options.Handler.ServeHTTP(w, r)
+		s.options.Handler.ServeHTTP(&responseWriter{ResponseWriter: w, conn: c, timeout: s.options.TransferTimeout}, r)
 		return
 	}
 	if c.reservation.evicted() {
@@ -169,3 +174,36 @@
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	w.WriteHeader(status)
 }
+
+// responseWriter bounds the time for writing an answer.
+type responseWriter struct {
+	http.ResponseWriter
+	conn    *Conn
+	timeout time.Duration
+	started bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	w.start()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.start()
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *responseWriter) start() {
+	if w.started {
+		return
+	}
+	w.started = true
+	// After an eviction, the writes report that the connection is closed.
+	w.conn.reservation.setPhase(policy.Sending)
+	_ = w.conn.SetWriteDeadline(time.Now().Add(w.timeout))
+}
+
+// Unwrap implements the access of http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/policy/intake/ledger.go
+++ b/policy/intake/ledger.go
@@ -19,6 +19,8 @@
 	Receiving Phase = iota
 	// Serving: a complete request.
 	Serving
+	// Sending: an answer that the caller has not read completely.
+	Sending
 	// Idle: between two requests.
 	Idle
 )
@@ -58,9 +60,10 @@
 	Connections int
 	// Memory is in bytes.
 	Memory int64
-	// Evicted counts requests that were rejected in favour of others, and Rejected those that
-	// found no memory.
-	Evicted, Rejected uint64
+	// EvictedIdle and EvictedIncomplete count connections that were closed in favour of
+	// others, Refused those that were closed when they were opened, and Rejected the requests
+	// that found no memory.
+	EvictedIdle, EvictedIncomplete, Refused, Rejected uint64
 }
 
 // Ledger counts what callers make a node hold. Not safe for concurrent use. Times must not
@@ -68,25 +71,57 @@
 type Ledger struct {
 	limits Limits
 	counts Counts
-	// stalled holds the holders that wait for their callers, the earliest first.
-	stalled *list.List
+	// stalled holds the holders that wait for their callers, in the phases Receiving and
+	// Sending, and idle those in the phase Idle. Both begin with the earliest.
+	stalled, idle *list.List
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger(l Limits) *Ledger {
-	return &Ledger{limits: l, stalled: list.New()}
+	return &Ledger{limits: l, stalled: list.New(), idle: list.New()}
 }
 
 // Counts returns what the ledger has counted.
 func (l *Ledger) Counts() Counts { return l.counts }
 
-// Open adds a connection.
-func (l *Ledger) Open(now time.Time, owner any) *Holder {
-	h := &Holder{Owner: owner, connection: true, held: ConnectionCost}
+// Open adds a connection. If there is no room, evicted is the connection to close for it, or
+// ok is false if there is none.
+func (l *Ledger) Open(now time.Time, owner any) (h, evicted *Holder, ok bool) {
+	if l.limits.Connections > 0 && l.counts.Connections >= l.limits.Connections {
+		evicted = l.connectionVictim(now)
+		if evicted == nil {
+			l.counts.Refused++
+			return nil, nil, false
+		}
+		l.evict(evicted)
+	}
+	h = &Holder{Owner: owner, connection: true, held: ConnectionCost}
 	l.counts.Connections++
 	l.counts.Memory += h.held
 	l.enter(h, Receiving, now)
-	return h
+	return h, evicted, true
+}
+
+// connectionVictim returns the connection to close for a new one: the oldest one that has
+// waited for its caller for longer than patience, then the one that has been idle for
+// longest, then the oldest one that waits for its caller. A request that is complete is not
+// interrupted.
+func (l *Ledger) connectionVictim(now time.Time) *Holder {
+	stalled := first(l.stalled)
+	if stalled != nil && now.Sub(stalled.since) > patience {
+		return stalled
+	}
+	if idle := first(l.idle); idle != nil {
+		return idle
+	}
+	return stalled
+}
+
+func first(holders *list.List) *Holder {
+	if e := holders.Front(); e != nil {
+		return e.Value.(*Holder)
+	}
+	return nil
 }
 
 // Take adds memory to a holder before it is used. ok is false if there is no room; evicted
@@ -161,9 +196,11 @@
 	l.leave(h)
 	h.phase, h.since = p, now
 	switch p {
-	case Receiving:
+	case Receiving, Sending:
 		h.element = l.stalled.PushBack(h)
-	case Serving, Idle:
+	case Idle:
+		h.element = l.idle.PushBack(h)
+	case Serving:
 	}
 }
 
@@ -171,12 +208,20 @@
 	if h.element == nil {
 		return
 	}
-	l.stalled.Remove(h.element)
+	if h.phase == Idle {
+		l.idle.Remove(h.element)
+	} else {
+		l.stalled.Remove(h.element)
+	}
 	h.element = nil
 }
 
 func (l *Ledger) evict(h *Holder) {
-	l.counts.Evicted++
+	if h.phase == Idle {
+		l.counts.EvictedIdle++
+	} else {
+		l.counts.EvictedIncomplete++
+	}
 	l.Close(h)
 	h.evicted = true
 }
--- a/policy/intake/ledger_test.go
+++ b/policy/intake/ledger_test.go
@@ -24,7 +24,49 @@
 }
 
 func (l *ledger) open(name string, now time.Time) *intake.Holder {
-	return l.Open(now, name)
+	h, _, ok := l.Open(now, name)
+	l.Assert(ok, qt.IsTrue)
+	return h
+}
+
+// evictedBy opens a connection and returns the name of the one that was closed for it.
+func (l *ledger) evictedBy(now time.Time) string {
+	_, evicted, ok := l.Open(now, "new")
+	l.Assert(ok, qt.IsTrue)
+	if evicted == nil {
+		return ""
+	}
+	l.Assert(evicted.Evicted(), qt.IsTrue)
+	return evicted.Owner.(string)
+}
+
+// Guards against a crowd of connections that keeps out ordinary callers.
+func TestNewConnectionReplacesOneThatWaitsForItsCaller(t *testing.T) {
+	l := newLedger(t, intake.Limits{Connections: 4})
+	served := l.open("served", start)
+	l.SetPhase(served, intake.Serving, start)
+	idle := l.open("idle", start)
+	l.SetPhase(idle, intake.Idle, start)
+	l.open("stalled", start.Add(time.Second))
+	l.open("recent", start.Add(2*time.Second))
+	now := start.Add(2500 * time.Millisecond)
+	l.Check(l.evictedBy(now), qt.Equals, "stalled")
+	l.Check(l.evictedBy(now), qt.Equals, "idle")
+	l.Check(l.evictedBy(now), qt.Equals, "recent")
+	l.Check(l.Counts().Connections, qt.Equals, 4)
+}
+
+// Guards against a complete request that is interrupted for a new connection.
+func TestServedRequestKeepsItsConnection(t *testing.T) {
+	l := newLedger(t, intake.Limits{Connections: 1})
+	h := l.open("served", start)
+	l.SetPhase(h, intake.Serving, start)
+	_, _, ok := l.Open(start.Add(time.Hour), "new")
+	l.Check(ok, qt.IsFalse)
+	l.Check(h.Evicted(), qt.IsFalse)
+	l.Check(l.Counts().Refused, qt.Equals, uint64(1))
+	l.Close(h)
+	l.open("next", start.Add(time.Hour))
 }
 
 const large = 256 << 10
@@ -85,16 +127,18 @@
 
 // Guards against a crowd that stalls with large bodies, in which ordinary callers fail.
 func TestOrdinaryCallersAreServedBesideStalledCrowd(t *testing.T) {
-	l := newLedger(t, intake.Limits{Memory: 16 * megabyte})
+	l := newLedger(t, intake.Limits{Memory: 16 * megabyte, Connections: 200})
 	rng := rand.New(rand.NewPCG(1, 1))
 	refused := 0
 	for step := range 10000 {
 		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
-		if step < 200 {
-			l.Take(l.open("crowd", now), rng.Int64N(large), now)
+		if h, _, ok := l.Open(now, "crowd"); ok {
+			l.Take(h, rng.Int64N(large), now)
+		}
+		h, _, ok := l.Open(now, "ordinary")
+		if ok {
+			_, ok = l.Take(h, 8<<10, now)
 		}
-		h := l.open("ordinary", now)
-		_, ok := l.Take(h, 8<<10, now)
 		if !ok || !l.SetPhase(h, intake.Serving, now) {
 			refused++
 			continue
@@ -106,15 +150,17 @@
 
 // Guards against memory that is counted twice or never released.
 func TestLedgerCountsWhatItsHoldersHold(t *testing.T) {
-	limits := intake.Limits{Memory: 8 * megabyte}
+	limits := intake.Limits{Memory: 8 * megabyte, Connections: 60}
 	l := newLedger(t, limits)
 	rng := rand.New(rand.NewPCG(2, 2))
 	var open []*intake.Holder
 	for step := range 20000 {
 		now := start.Add(time.Duration(step) * 50 * time.Millisecond)
 		switch n := rng.IntN(6); {
-		case n == 0 && len(open) < 60 || len(open) == 0:
-			open = append(open, l.Open(now, step))
+		case n == 0 || len(open) == 0:
+			if h, _, ok := l.Open(now, step); ok {
+				open = append(open, h)
+			}
 		case n == 1:
 			k := rng.IntN(len(open))
 			l.Close(open[k])
@@ -122,7 +168,7 @@
 		case n == 2:
 			l.Shrink(open[rng.IntN(len(open))], rng.Int64N(large))
 		case n == 3:
-			l.SetPhase(open[rng.IntN(len(open))], intake.Phase(rng.IntN(3)), now)
+			l.SetPhase(open[rng.IntN(len(open))], intake.Phase(rng.IntN(4)), now)
 		default:
 			l.Take(open[rng.IntN(len(open))], rng.Int64N(large), now)
 		}
@@ -132,6 +178,7 @@
 		}
 		l.Assert(l.Counts().Memory, qt.Equals, held, qt.Commentf("step %d", step))
 		l.Assert(held <= limits.Memory, qt.IsTrue)
+		l.Assert(l.Counts().Connections <= limits.Connections, qt.IsTrue)
 	}
 	for _, h := range open {
 		l.Close(h)
--- a/policy/intake/limits.go
+++ b/policy/intake/limits.go
@@ -1,6 +1,6 @@
-// Package intake decides which requests of callers a node accepts. One ledger counts all
-// memory that callers make the node hold. When it runs short, the requests that have been
-// incomplete for longest are rejected.
+// Package intake decides which connections and requests of callers a node accepts. One
+// ledger counts all memory that callers make the node hold, and their connections. When
+// either runs short, the requests that have been incomplete for longest are rejected.
 package intake
 
 const (
@@ -17,6 +17,11 @@
 	// the exchange with peers and operators, for replies, and for garbage that has not been
 	// collected yet.
 	memoryShare = 1.0 / 3
+	// connectionMemoryShare is the share of callers' memory that connections without a request
+	// may use.
+	connectionMemoryShare = 0.5
+	// descriptorShare is the share of a node's descriptors that callers' connections may use.
+	descriptorShare = 0.5
 	// heapShare is the share of a node's memory from which the garbage collector runs more
 	// often.
 	heapShare = 0.65
@@ -25,18 +30,30 @@
 // Machine is what a process may use. Zero values mean no bound.
 type Machine struct {
 	// Memory is in bytes.
-	Memory int64
+	Memory      int64
+	Descriptors int
 }
 
 // Limits bounds what callers make a node hold. Zero values mean no bound.
 type Limits struct {
 	// Memory is in bytes.
-	Memory int64
+	Memory      int64
+	Connections int
 }
 
 // Limits returns the limits of callers at a node.
 func (m Machine) Limits() Limits {
-	return Limits{Memory: int64(float64(m.Memory) * memoryShare)}
+	l := Limits{
+		Memory:      int64(float64(m.Memory) * memoryShare),
+		Connections: int(float64(m.Descriptors) * descriptorShare),
+	}
+	if m.Memory > 0 {
+		affordable := max(1, int(float64(l.Memory)*connectionMemoryShare)/ConnectionCost)
+		if l.Connections == 0 || affordable < l.Connections {
+			l.Connections = affordable
+		}
+	}
+	return l
 }
 
 // HeapLimit returns the limit of the garbage collector in bytes; 0 for none.
--- a/policy/intake/limits_test.go
+++ b/policy/intake/limits_test.go
@@ -14,14 +14,17 @@
 func TestLimitsLeaveRoomForTheNode(t *testing.T) {
 	c := qt.New(t)
 	for _, m := range []intake.Machine{
-		{Memory: 64 * megabyte},
-		{Memory: 184 * megabyte},
-		{Memory: 284 * megabyte},
-		{Memory: 536 * megabyte},
-		{Memory: 24 << 30},
+		{Memory: 64 * megabyte, Descriptors: 1000},
+		{Memory: 184 * megabyte, Descriptors: 4100},
+		{Memory: 284 * megabyte, Descriptors: 4100},
+		{Memory: 536 * megabyte, Descriptors: 8192},
+		{Memory: 24 << 30, Descriptors: 1 << 20},
 	} {
 		l := m.Limits()
 		c.Check(l.Memory <= m.HeapLimit()*2/3, qt.IsTrue, qt.Commentf("%+v: %+v", m, l))
+		c.Check(l.Connections*2 <= m.Descriptors, qt.IsTrue, qt.Commentf("%+v: %+v", m, l))
+		c.Check(int64(l.Connections)*intake.ConnectionCost <= l.Memory/2, qt.IsTrue, qt.Commentf("%+v: %+v", m, l))
+		c.Check(l.Connections > 100, qt.IsTrue, qt.Commentf("%+v: %+v", m, l))
 	}
 }
 
@@ -29,6 +32,7 @@
 	c := qt.New(t)
 	c.Assert(intake.Machine{}.Limits(), qt.Equals, intake.Limits{})
 	c.Assert(intake.Machine{}.HeapLimit(), qt.Equals, int64(0))
+	c.Assert(intake.Machine{Descriptors: 10}.Limits(), qt.Equals, intake.Limits{Connections: 5})
 }
 
 // Guards against limits that reject a single request of the largest legal size.
