Count the copies of a request for shards and for other nodes

Callers saw a node that ended, also once heads were counted: a gathered request with very many header lines is copied for each shard.

Cause: each attempt clones the map of headers, so that a head of 16 KB takes another 0.2 MB for each shard. A message to a coordinator or to a node of another data centre holds the request once more, there too.

Change: the copies are taken from the budget before they are made. Without room the request is not run (503 with Retry-After), a batch is sent by the node that gathers, and a coordinator refuses a relayed request with a reason of its own, so that its sender does not count it as failed. Ordinary requests (32 headers, messages of 16 KB) are not counted.

--- a/node/forward/batch.go
+++ b/node/forward/batch.go
@@ -117,8 +117,11 @@
 }
 
 // launchBatch sends attempts through a node of a data centre and reports whether one is
-// usable.
+// usable and there is memory for the message.
 func (q *exchange) launchBatch(dataCentre string, indices []int) bool {
+	if !q.req.HasMemory(q.req.MessageCost()) {
+		return false
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), q.deadline)
 	call := &batchCall{cancel: cancel, wanted: len(indices)}
 	b := &Batch{Request: q.req, Deadline: q.deadline, TopRecords: q.route.TopRecords, Tried: q.suspect}
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/telemetry"
 	"github.com/carobmill/carobmill/policy/account"
+	"github.com/carobmill/carobmill/policy/intake"
 	"github.com/carobmill/carobmill/policy/load"
 	"github.com/carobmill/carobmill/policy/registry"
 	"github.com/carobmill/carobmill/policy/retrybudget"
@@ -56,6 +57,26 @@
 	// LinkBytesPerSecond is what the network link of the node that received the request
 	// transfers; 0 when unknown.
 	LinkBytesPerSecond float64
+	// TakeMemory takes memory in bytes for copies of the request, before they are made and
+	// until the request ends. It returns false if there is none. Nil means no bound.
+	TakeMemory func(size int64) bool
+}
+
+// HasMemory reports whether there is memory of this size for copies of the request.
+func (r *Request) HasMemory(size int64) bool {
+	return size == 0 || r.TakeMemory == nil || r.TakeMemory(size)
+}
+
+// MessageCost returns the memory of a message to another node with the request.
+func (r *Request) MessageCost() int64 {
+	headers, size := 0, 0
+	for name, values := range r.Header {
+		headers += len(values)
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	return intake.MessageCost(headers, size, len(r.Body))
 }
 
 // Outcome is how a request ended.
@@ -394,6 +415,9 @@
 	return a
 }
 
+// memoryRetryAfter covers the time in which requests that stall give way to others.
+const memoryRetryAfter = time.Second
+
 // startRetryAfter covers the time from a node's start to its first configuration, with a
 // slow store.
 const startRetryAfter = 500 * time.Millisecond
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -8,6 +8,7 @@
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/gather"
+	"github.com/carobmill/carobmill/policy/intake"
 	"github.com/carobmill/carobmill/policy/quarantine"
 	"github.com/carobmill/carobmill/policy/route"
 )
@@ -153,6 +154,10 @@
 
 // serve sends the attempts of the request and returns its answer.
 func (q *exchange) serve(ctx context.Context) Answer {
+	// Each attempt has its own copy of the headers.
+	if !q.req.HasMemory(intake.CopiesCost(len(q.names), len(q.req.Header))) {
+		return q.f.refuse(q.req, "no memory for copies of the request", memoryRetryAfter)
+	}
 	defer q.cancelOutstanding()
 	if !q.awaitRoom(ctx) {
 		return q.finish(gather.Failure)
--- a/node/forward/servebatch.go
+++ b/node/forward/servebatch.go
@@ -9,6 +9,7 @@
 	"github.com/carobmill/carobmill/node/backend"
 	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/gather"
+	"github.com/carobmill/carobmill/policy/intake"
 	"github.com/carobmill/carobmill/policy/registry"
 )
 
@@ -24,6 +25,9 @@
 		// After a pause of this process, a batch may arrive together with its cancellation.
 		return ctx.Err()
 	}
+	if !b.Request.HasMemory(b.Request.MessageCost() + intake.CopiesCost(len(b.Replicas), len(b.Request.Header))) {
+		return deliver(unsentBatch(b))
+	}
 	c := f.contentOf(b.Request)
 	if v := f.suspects.check(c); v.Refused || v.Suspect() && !b.Tried {
 		return deliver(f.refuseBatch(b, c))
@@ -71,6 +75,18 @@
 	return r
 }
 
+// unsentBatch returns the replies to a batch that this node does not send. The node that asked for
+// it sends the attempts itself.
+func unsentBatch(b *Batch) PartReplies {
+	var r PartReplies
+	for i := range b.Replicas {
+		r.Replies = append(r.Replies, PartReply{Replica: i, Reply: backend.ForwardReply{
+			Reason: pb.Reason_REASON_PEER, Evidence: pb.Evidence_EVIDENCE_NOT_RUN,
+		}})
+	}
+	return r
+}
+
 // sendBatch sends the attempts of a batch and returns their calls. An unknown replica gets
 // a reply in inbox and no call.
 func (f *Forwarder) sendBatch(b *Batch, c *content, inbox *work.Inbox[PartReply]) []*backend.ForwardRequest {
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -228,6 +228,7 @@
 		Upgrades:  g.upgrader,
 		Quota:     g.quota,
 		Leaving:   g.stopping.Load,
+		Memory:    g.intake,
 
 		Observations: g.exchange,
 	}, credentials.Server)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -164,6 +164,9 @@
 func (g *Gateway) Serve(ctx context.Context, req *forward.Request) forward.Answer {
 	forwarding := g.settings.GetForwarding()
 	req.TransitReserve = transitReserve(ctx, forwarding.GetCapacity())
+	if r := intake.ReservationOf(ctx); r != nil {
+		req.TakeMemory = r.Take
+	}
 	req.LinkBytesPerSecond = forwarding.GetLinkMbps() * bytesPerMegabit
 	a := g.relay.Serve(ctx, req)
 	if a.Outcome == forward.NotRun {
--- a/node/intake/budget.go
+++ b/node/intake/budget.go
@@ -33,6 +33,13 @@
 	set("caller_requests_without_memory", float64(c.Rejected))
 }
 
+// Reserve returns a reservation for a request that came from another node.
+func (b *Budget) Reserve() *Reservation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &Reservation{budget: b, holder: b.ledger.OpenRequest()}
+}
+
 // admit adds a connection. It returns false if there is no room.
 func (b *Budget) admit(c *Conn) bool {
 	b.mu.Lock()
--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -239,3 +239,12 @@
 	}
 	return ctx
 }
+
+// ReservationOf returns the reservation of the request with a context; nil if its connection
+// has none.
+func ReservationOf(ctx context.Context) *Reservation {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		return c.reservation
+	}
+	return nil
+}
--- a/node/relay/cluster_test.go
+++ b/node/relay/cluster_test.go
@@ -18,9 +18,11 @@
 	"github.com/carobmill/carobmill/node/backend"
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/forward"
+	"github.com/carobmill/carobmill/node/intake"
 	"github.com/carobmill/carobmill/node/peer"
 	"github.com/carobmill/carobmill/node/relay"
 	"github.com/carobmill/carobmill/policy/coordinator"
+	policyintake "github.com/carobmill/carobmill/policy/intake"
 	"github.com/carobmill/carobmill/policy/quarantine"
 	"github.com/carobmill/carobmill/policy/route"
 	"github.com/carobmill/carobmill/standin/memnet"
@@ -211,6 +213,9 @@
 	return n.following
 }
 
+// relayMemory is the memory of each node for the requests of other nodes, in bytes.
+const relayMemory = 1 << 20
+
 // cluster is two coordinators and one small node that relays its requests.
 type cluster struct {
 	*qt.C
@@ -259,7 +264,10 @@
 		answers: []int{0, 1},
 		member:  coordinator.Member{Node: name, Address: l.Addr().String(), DataCentre: "a", Capacity: capacity},
 	}
-	n.server = relay.NewServer(relay.ServerOptions{Directory: n, Local: n, Leaving: n.Leaving}, nil)
+	n.server = relay.NewServer(relay.ServerOptions{
+		Directory: n, Local: n, Leaving: n.Leaving,
+		Memory: intake.NewBudget(policyintake.Limits{Memory: relayMemory}),
+	}, nil)
 	go func() { _ = n.server.Serve(l) }()
 	log := discardLog()
 	pool := peer.NewPool(nil, c.network.Dialer(name))
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -112,6 +112,9 @@
 		if !ok || condition.Stale && r.isCurrent() {
 			return r.serveLocally(ctx, req)
 		}
+		if len(tried) == 0 && !req.HasMemory(req.MessageCost()) {
+			return r.refuse(req)
+		}
 		tried[to.Node] = true
 		answer, done := r.send(ctx, to, req)
 		if done {
@@ -223,6 +226,8 @@
 	case err == nil && result.refusal == pb.RelayRefusal_RELAY_REFUSAL_BEHIND:
 		// The coordinator does not have the required configuration version yet. Another
 		// coordinator may have it.
+	case err == nil && result.refusal == pb.RelayRefusal_RELAY_REFUSAL_NO_MEMORY:
+		return r.refuse(req), true
 	case err == nil && result.refusal == pb.RelayRefusal_RELAY_REFUSAL_ISOLATED:
 		// The data centre is most likely isolated. A caller that retries on another node is
 		// served sooner than by trying the other coordinators.
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -269,3 +269,39 @@
 		c.Assert(used.cancelled, qt.Equals, 1)
 	})
 }
+
+// Guards against coordinators that hold relayed requests without a bound, and against a
+// coordinator that counts as failed because it has no memory for one of them.
+func TestRelayedRequestWithoutMemoryIsNotRun(t *testing.T) {
+	runTest(t, func(c *cluster) {
+		used, _ := c.usedCoordinator()
+		before := used.servedCount()
+		send := func(size int) forward.Answer {
+			return c.small.relay.Serve(c.Context(), &forward.Request{
+				ID: "q", Method: "POST", Target: "/x", Body: make([]byte, size), Arrived: time.Now(), CallerTimeout: 5 * time.Second,
+			})
+		}
+		a := send(relayMemory)
+		c.Assert(a.Outcome, qt.Equals, forward.NotRun)
+		c.Assert(a.RetryAfter > 0, qt.IsTrue)
+		c.Assert(used.servedCount(), qt.Equals, before)
+		c.Assert(c.small.isFollowing(), qt.IsFalse)
+		for range 10 {
+			c.Assert(string(send(relayMemory/2).Body), qt.Equals, used.member.Node)
+		}
+	})
+}
+
+// Guards against a node that encodes a request for a coordinator without memory for the message.
+func TestRequestWithoutMemoryForItsMessageIsNotRelayed(t *testing.T) {
+	runTest(t, func(c *cluster) {
+		used, _ := c.usedCoordinator()
+		before := used.servedCount()
+		a := c.small.relay.Serve(c.Context(), &forward.Request{
+			ID: "q", Method: "POST", Target: "/x", Body: make([]byte, relayMemory/2), Arrived: time.Now(),
+			CallerTimeout: 5 * time.Second, TakeMemory: func(int64) bool { return false },
+		})
+		c.Assert(a.Outcome, qt.Equals, forward.NotRun)
+		c.Assert(used.servedCount(), qt.Equals, before)
+	})
+}
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -13,6 +13,7 @@
 	"github.com/carobmill/carobmill/api/peerv1"
 	"github.com/carobmill/carobmill/node/directory"
 	"github.com/carobmill/carobmill/node/forward"
+	"github.com/carobmill/carobmill/node/intake"
 	"github.com/carobmill/carobmill/node/peer"
 	"github.com/carobmill/carobmill/node/work"
 	"github.com/carobmill/carobmill/policy/coordinator"
@@ -78,6 +79,8 @@
 	Quota QuotaManager
 	// Observations collects the observations of other nodes; may be nil.
 	Observations ObservationCollector
+	// Memory is the budget of callers' requests; may be nil.
+	Memory *intake.Budget
 	// Leaving reports whether the node is shutting down. It still accepts requests, but
 	// reports itself as unavailable to senders.
 	Leaving func() bool
@@ -125,6 +128,12 @@
 	if refusal := s.refusalReason(stream.Context(), m.GetLeastVersion()); refusal != 0 {
 		return stream.Send(refusalResponse(refusal))
 	}
+	req := decodeRelayRequest(m, now)
+	release := s.reserveMemory(req)
+	defer release()
+	if !req.HasMemory(req.MessageCost()) {
+		return stream.Send(refusalResponse(pb.RelayRefusal_RELAY_REFUSAL_NO_MEMORY))
+	}
 	if err := stream.Send(&pb.RelayResponse{Event: &pb.RelayResponse_Offer{Offer: true}}); err != nil {
 		return err
 	}
@@ -133,7 +142,6 @@
 	if message, err := stream.Recv(); err != nil || !message.GetBegin() {
 		return err
 	}
-	req := decodeRelayRequest(m, now)
 	s.delivery.apply(req)
 	answer := s.opts.Local.Serve(stream.Context(), req)
 	if answer.Outcome == forward.NotRun && s.opts.Local.Isolated() {
@@ -142,6 +150,16 @@
 	return stream.Send(&pb.RelayResponse{Event: &pb.RelayResponse_Answer{Answer: encodeAnswer(&answer)}})
 }
 
+// reserveMemory lets a request of another node take memory, until release.
+func (s *Server) reserveMemory(req *forward.Request) (release func()) {
+	if s.opts.Memory == nil {
+		return func() {}
+	}
+	r := s.opts.Memory.Reserve()
+	req.TakeMemory = r.Take
+	return r.Release
+}
+
 func refusalResponse(reason pb.RelayRefusal) *pb.RelayResponse {
 	return &pb.RelayResponse{Event: &pb.RelayResponse_Refusal{Refusal: reason}}
 }
@@ -172,7 +190,10 @@
 	if len(m.GetReplicas()) > maxBatchReplicas {
 		return status.Error(codes.InvalidArgument, "batch contains too many replicas")
 	}
-	return s.opts.Local.ServeBatch(stream.Context(), decodeBatch(m, time.Now()), func(r forward.PartReplies) error {
+	b := decodeBatch(m, time.Now())
+	release := s.reserveMemory(b.Request)
+	defer release()
+	return s.opts.Local.ServeBatch(stream.Context(), b, func(r forward.PartReplies) error {
 		return stream.Send(encodeReplies(r, time.Now()))
 	})
 }
--- a/policy/intake/ledger.go
+++ b/policy/intake/ledger.go
@@ -25,7 +25,7 @@
 	Idle
 )
 
-// Holder is a connection of a caller that holds memory.
+// Holder is a connection of a caller, or a request from another node, that holds memory.
 type Holder struct {
 	// Owner identifies the holder to the user of the ledger.
 	Owner any
@@ -102,6 +102,9 @@
 	return h, evicted, true
 }
 
+// OpenRequest adds a request that came from another node and is complete.
+func (l *Ledger) OpenRequest() *Holder { return &Holder{phase: Serving} }
+
 // connectionVictim returns the connection to close for a new one: the oldest one that has
 // waited for its caller for longer than patience, then the one that has been idle for
 // longest, then the oldest one that waits for its caller. A request that is complete is not
--- a/policy/intake/limits.go
+++ b/policy/intake/limits.go
@@ -66,11 +66,12 @@
 	// headLineCost covers the entry of a header line in the map of headers and its slice of
 	// values.
 	headLineCost = 200
-	// copiedHeaderCost covers the entry of a header in a copy of the map, and in the sorted
-	// list that is written from it.
-	copiedHeaderCost = 128
-	// ordinaryHeaders is the number of headers whose copies are not counted.
+	// copiedHeaderCost covers the entry of a header in a copy of the map.
+	copiedHeaderCost = 96
+	// ordinaryHeaders is the number of headers whose copies are not counted, and
+	// ordinaryMessage the size of messages between nodes that are not counted.
 	ordinaryHeaders = 32
+	ordinaryMessage = 16 << 10
 )
 
 // HeadCost returns the memory of a head with this many bytes and lines, once it is parsed.
@@ -80,3 +81,14 @@
 func CopiesCost(copies, headers int) int64 {
 	return int64(copies) * int64(max(0, headers-ordinaryHeaders)) * copiedHeaderCost
 }
+
+// MessageCost returns the memory of a request in a message between nodes, with this many
+// headers of this many bytes together, and a body. The message holds what it is encoded from or
+// decoded to.
+func MessageCost(headers, size, body int) int64 {
+	cost := HeadCost(size, headers) + int64(body)
+	if cost <= ordinaryMessage {
+		return 0
+	}
+	return cost
+}
