Read large replies within the budget of callers

Callers saw a node over its memory: clients that read no answers made it hold one large answer each.

Cause: a reply is held from its first byte until the caller has read it, and nothing bounded how many there were.

The reply waits for room until the deadline of its request; without it the request ends as late, since it may have run, and the replica does not count as failed. Connections whose callers read no answer already give way to others. A request that has ended takes no more memory.

--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
+	"github.com/carobmill/carobmill/node/intake"
 	"github.com/carobmill/carobmill/policy/config"
 	"github.com/carobmill/carobmill/policy/load"
 )
@@ -38,6 +39,9 @@
 	Body   []byte
 	// Deadline of the request; the replica receives the remaining time.
 	Deadline time.Time
+	// TakeMemory takes memory in bytes for a large reply before it is read. It returns false
+	// if there is none. Nil means no bound.
+	TakeMemory func(size int64) bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -252,7 +256,7 @@
 	reply = ForwardReply{Status: resp.StatusCode, Header: resp.Header, Metadata: dialect.Metadata(resp)}
 	p.recordLoad(&reply)
 	limit := p.client.opts.MaxResultBytes
-	reply.Body, err = readBody(resp, limit+1)
+	reply.Body, err = f.readBody(resp, limit+1)
 	_ = resp.Body.Close()
 	awaited := f.detach(true)
 	reply.Took = time.Since(sent)
@@ -263,14 +267,7 @@
 	switch {
 	case err != nil || int64(len(reply.Body)) > limit:
 		p.release(cn, false)
-		reason := pb.Reason_REASON_CONNECTION
-		if !awaited {
-			reason = pb.Reason_REASON_CANCELLED
-		}
-		// The status line alone is no evidence when the reply was truncated.
-		failed := failedForward(reason, reply.Took)
-		failed.Lost = err != nil && !f.wasAborted()
-		return failed, false
+		return failedRead(f, err, awaited, reply.Took), false
 	case mismatched:
 		// The connection's requests and replies are out of step.
 		p.client.stats.mismatched.Add(1)
@@ -302,6 +299,24 @@
 	return ForwardReply{Reason: reason, Evidence: pb.Evidence_EVIDENCE_UNKNOWN, Took: took}
 }
 
+// failedRead returns the outcome of an exchange whose reply was not read completely: with an error,
+// or because it exceeds the limit.
+func failedRead(f *ForwardRequest, err error, awaited bool, took time.Duration) ForwardReply {
+	reason := pb.Reason_REASON_CONNECTION
+	noMemory := errors.Is(err, intake.ErrNoMemory)
+	switch {
+	case !awaited:
+		reason = pb.Reason_REASON_CANCELLED
+	case noMemory:
+		// The replica has not failed.
+		reason = pb.Reason_REASON_DEADLINE
+	}
+	// The status line alone is no evidence when the reply was truncated.
+	reply := failedForward(reason, took)
+	reply.Lost = err != nil && !noMemory && !f.wasAborted()
+	return reply
+}
+
 // handleForwardError returns the outcome of an exchange without a reply and closes its
 // connection.
 func (p *pool) handleForwardError(cn *conn, f *ForwardRequest, writes uint64, sent time.Time) (ForwardReply, bool) {
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -216,6 +216,8 @@
 		Header:    req.Header,
 		Body:      req.Body,
 		Deadline:  deadline,
+
+		TakeMemory: req.TakeMemory,
 	}
 }
 
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -13,8 +13,10 @@
 const firstBodyBytes = 4 << 10
 
 var (
+	// ErrNoMemory means that the budget of callers has no room.
+	ErrNoMemory = errors.New("no memory")
+
 	errBodyTooLarge = errors.New("body exceeds the limit")
-	errNoMemory     = errors.New("no memory for the body")
 )
 
 // body is the complete body of a request.
@@ -41,36 +43,42 @@
 	}
 	// One byte more than the limit shows that a body without a length is too large.
 	most := limit + 1
-	if r.ContentLength > 0 {
+	if r.ContentLength >= 0 {
 		most = r.ContentLength
 	}
+	data, err := ReadAll(r.Body, most, take)
+	if err == nil && int64(len(data)) > limit {
+		err = errBodyTooLarge
+	}
+	return data, err
+}
+
+// ReadAll reads up to the end, or as many bytes as most. take is called with the memory in bytes
+// before it is used. If take returns false, the error is ErrNoMemory.
+func ReadAll(r io.Reader, most int64, take func(int64) bool) ([]byte, error) {
 	var data []byte
 	for {
 		if len(data) == cap(data) {
 			if int64(len(data)) == most {
-				break
+				return data, nil
 			}
 			size := min(max(int64(2*cap(data)), firstBodyBytes), most)
 			if !take(size - int64(cap(data))) {
-				return nil, errNoMemory
+				return nil, ErrNoMemory
 			}
 			grown := make([]byte, len(data), size)
 			copy(grown, data)
 			data = grown
 		}
-		n, err := r.Body.Read(data[len(data):cap(data)])
+		n, err := r.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		if errors.Is(err, io.EOF) {
-			break
+			return data, nil
 		}
 		if err != nil {
 			return nil, err
 		}
 	}
-	if int64(len(data)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return data, nil
 }
 
 // bodyStatus returns the status for an error of readBody.
@@ -78,7 +86,7 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, ErrNoMemory):
 		return http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout
--- a/node/intake/budget.go
+++ b/node/intake/budget.go
@@ -92,7 +92,7 @@
 	r.budget.ledger.Close(r.holder)
 }
 
-// setPhase begins a phase. It returns false if the connection has been evicted.
+// setPhase begins a phase. It returns false if the connection is closed or has been evicted.
 func (r *Reservation) setPhase(p policy.Phase) bool {
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
--- a/node/intake/server.go
+++ b/node/intake/server.go
@@ -151,7 +151,7 @@
 // receive returns the body of a request.
 func (s *Server) receive(c *Conn, r *http.Request) ([]byte, error) {
 	if !c.beginRequest(r.Header) {
-		return nil, errNoMemory
+		return nil, ErrNoMemory
 	}
 	if r.Body == http.NoBody {
 		// net/http reads from the connection already, to notice when the caller disconnects.
--- a/policy/intake/ledger.go
+++ b/policy/intake/ledger.go
@@ -38,12 +38,14 @@
 	connection bool
 	// element is the holder's place in the list of its phase; nil without one.
 	element *list.Element
-	evicted bool
+	// closed holders take no more memory. evicted is set for those that were closed in favour
+	// of others.
+	closed, evicted bool
 }
 
 // Held returns the memory of the holder's request in bytes.
 func (h *Holder) Held() int64 {
-	if h.connection && !h.evicted {
+	if h.connection && !h.closed {
 		return h.held - ConnectionCost
 	}
 	return h.held
@@ -130,7 +132,7 @@
 // Take adds memory to a holder before it is used. ok is false if there is no room; evicted
 // are the holders to close for it.
 func (l *Ledger) Take(h *Holder, size int64, now time.Time) (evicted []*Holder, ok bool) {
-	if h.evicted {
+	if h.closed {
 		return nil, false
 	}
 	missing := l.counts.Memory + size - l.room(h, size)
@@ -186,9 +188,9 @@
 	return h.Held()
 }
 
-// SetPhase begins a phase. It returns false if the holder has been evicted.
+// SetPhase begins a phase. It returns false if the holder is closed.
 func (l *Ledger) SetPhase(h *Holder, p Phase, now time.Time) bool {
-	if h.evicted {
+	if h.closed {
 		return false
 	}
 	l.enter(h, p, now)
@@ -231,14 +233,14 @@
 
 // Close removes a holder. Closing it again has no effect.
 func (l *Ledger) Close(h *Holder) {
-	if h.evicted {
+	if h.closed {
 		return
 	}
+	h.closed = true
 	l.leave(h)
 	l.counts.Memory -= h.held
 	h.held = 0
 	if h.connection {
 		l.counts.Connections--
-		h.connection = false
 	}
 }
--- a/policy/intake/ledger_test.go
+++ b/policy/intake/ledger_test.go
@@ -187,3 +187,17 @@
 	l.Check(l.Counts().Memory, qt.Equals, int64(0))
 	l.Check(l.Counts().Connections, qt.Equals, 0)
 }
+
+// Guards against memory of a request that is taken after its end, and never released.
+func TestClosedHolderTakesNoMemory(t *testing.T) {
+	l := newLedger(t, intake.Limits{})
+	for _, h := range []*intake.Holder{l.open("closed", start), l.OpenRequest()} {
+		l.Close(h)
+		_, ok := l.Take(h, 1, start)
+		l.Check(ok, qt.IsFalse)
+		l.Check(l.SetPhase(h, intake.Receiving, start), qt.IsFalse)
+		l.Check(h.Held(), qt.Equals, int64(0))
+		l.Check(h.Evicted(), qt.IsFalse)
+	}
+	l.Check(l.Counts().Memory, qt.Equals, int64(0))
+}
