Accept callers of ordinary nodes within a budget too

Callers saw the same fault at an ordinary node, which serves the query interface: requests that are incomplete and connections that stay open were not bounded.

Change: its server for callers is that of node/intake. Requests that are not read completely get the documents of the interface; one to execute that finds no memory has the outcome unknown, since an earlier submission with its key may have run.

--- a/cmd/carobmill/process_test.go
+++ b/cmd/carobmill/process_test.go
@@ -69,7 +69,8 @@
 // could receive the same address before either listens on it.
 var reservedAddresses = make(map[string]bool)
 
-func startProcess(t *testing.T, binary, platformURL string, sheet *pb.Sheet, n int, seeds []string) *process {
+// startProcess starts a node. limits is the limits section of its settings, empty for the defaults.
+func startProcess(t *testing.T, binary, platformURL string, sheet *pb.Sheet, n int, seeds []string, limits string) *process {
 	t.Helper()
 	c := qt.New(t)
 	address := freeAddress(t)
@@ -82,7 +83,7 @@
 platform_url: "%s"
 seeds: ["%s"]
 timing: {balancer_lag_ms: 300}
-`, n, sheet.GetFleet(), sheet.GetDataCentres()[n%4].GetName(), address, freeAddress(t), seeds[n], platformURL, strings.Join(seeds, `", "`))
+%s`, n, sheet.GetFleet(), sheet.GetDataCentres()[n%4].GetName(), address, freeAddress(t), seeds[n], platformURL, strings.Join(seeds, `", "`), limits)
 	file := filepath.Join(t.TempDir(), "node.yaml")
 	c.Assert(os.WriteFile(file, []byte(settings), 0o600), qt.IsNil)
 	cmd := exec.Command(binary, "run", "-settings", file)
@@ -127,6 +128,12 @@
 // deploy starts the stand-ins and the given number of nodes, spread over the data centres,
 // and waits until each node returns a complete answer.
 func deploy(t *testing.T, nodes int) (*deployment.Deployment, []*process) {
+	t.Helper()
+	return deployWithLimits(t, nodes, "")
+}
+
+// deployWithLimits is deploy with the limits section of the nodes' settings.
+func deployWithLimits(t *testing.T, nodes int, limits string) (*deployment.Deployment, []*process) {
 	t.Helper()
 	c := qt.New(t)
 	sheet, faults := sheetfile.Load(filepath.Join("..", "..", "examples", "kenya.yaml"))
@@ -143,7 +150,7 @@
 	}
 	var processes []*process
 	for n := range nodes {
-		processes = append(processes, startProcess(t, binary, d.PlatformURL, sheet, n, seeds))
+		processes = append(processes, startProcess(t, binary, d.PlatformURL, sheet, n, seeds, limits))
 	}
 	for _, p := range processes {
 		p.waitForComplete(t)
--- a/node/caller/handler.go
+++ b/node/caller/handler.go
@@ -98,6 +98,27 @@
 	writeJSON(w, http.StatusServiceUnavailable, retry, answer)
 }
 
+// Reject answers a request that was not read completely, and so has not run. An earlier submission
+// of the same request to execute may have run, so that its outcome is unknown.
+func (h *Handler) Reject(w http.ResponseWriter, r *http.Request, status int) {
+	switch status {
+	case http.StatusServiceUnavailable:
+		retry := refusalRetryAfter.Milliseconds()
+		reason := reasonName(pb.Reason_REASON_OVERLOAD)
+		if r.URL.Path == executePath {
+			writeJSON(w, status, retry, &ExecuteAnswer{Outcome: query.Unknown, Reason: reason, RetryAfterMs: retry})
+			return
+		}
+		writeJSON(w, status, retry, &Answer{Outcome: query.Refused, Reason: reason, RetryAfterMs: retry})
+	case http.StatusRequestEntityTooLarge:
+		encodeError(r.Context(), bodyError(&http.MaxBytesError{Limit: h.maxBody}), w)
+	case http.StatusRequestTimeout:
+		writeError(w, status, ErrorDetail{Code: "timeout", Field: "body", Message: "body: did not arrive in time"})
+	default:
+		writeError(w, status, ErrorDetail{Code: "bad_request", Field: "body", Message: "body: is not complete"})
+	}
+}
+
 func encodeAnswer(_ context.Context, w http.ResponseWriter, response any) error {
 	answer := response.(*Answer)
 	writeJSON(w, answerStatus(answer), answer.RetryAfterMs, answer)
--- a/node/caller/refuse_test.go
+++ b/node/caller/refuse_test.go
@@ -31,3 +31,26 @@
 		})
 	}
 }
+
+// Guards against a request that was not read completely and is answered as refused, although an
+// earlier submission may have run.
+func TestIncompleteRequestIsAnsweredByItsStatus(t *testing.T) {
+	h := caller.NewHandler(caller.Options{MaxBodyBytes: 1 << 10})
+	for _, tt := range []struct {
+		path   string
+		status int
+		text   string
+	}{
+		{"/v1/execute", 503, `"outcome":"unknown"`},
+		{"/v1/query", 503, `"outcome":"refused"`},
+		{"/v1/query", 413, `"code":"too_large"`},
+		{"/v1/query", 408, `"code":"timeout"`},
+		{"/v1/query", 400, `"code":"bad_request"`},
+	} {
+		w := httptest.NewRecorder()
+		h.Reject(w, httptest.NewRequest("POST", tt.path, nil), tt.status)
+		qt.Check(t, w.Code, qt.Equals, tt.status)
+		qt.Check(t, w.Body.String(), qt.Contains, tt.text)
+		qt.Check(t, w.Header().Get("Retry-After") != "", qt.Equals, tt.status == 503)
+	}
+}
--- a/node/intake/server.go
+++ b/node/intake/server.go
@@ -25,6 +25,9 @@
 	IdleTimeout func() time.Duration
 	// TransferTimeout bounds the reading of a body and the writing of an answer.
 	TransferTimeout time.Duration
+	// Reject writes the answer to a request that is not passed to the handler, whose body must not
+	// be read; may be nil.
+	Reject func(w http.ResponseWriter, r *http.Request, status int)
 	// ConnContext returns the context of the requests on a connection; may be nil.
 	ConnContext func(ctx context.Context, conn net.Conn) context.Context
 }
@@ -145,7 +148,7 @@
 		c.answer(http.StatusServiceUnavailable)
 		panic(http.ErrAbortHandler)
 	}
-	s.reject(w, c, bodyStatus(err))
+	s.reject(w, r, c, bodyStatus(err))
 }
 
 // receive returns the body of a request.
@@ -164,7 +167,7 @@
 }
 
 // reject answers a request that is not passed to the handler.
-func (s *Server) reject(w http.ResponseWriter, c *Conn, status int) {
+func (s *Server) reject(w http.ResponseWriter, r *http.Request, c *Conn, status int) {
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", retryAfterSeconds)
 	}
@@ -172,6 +175,10 @@
 	_ = c.SetWriteDeadline(time.Now().Add(lingerTimeout))
 	// net/http discards the remainder of the body up to this deadline.
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	if s.options.Reject != nil {
+		s.options.Reject(w, r, status)
+		return
+	}
 	w.WriteHeader(status)
 }
 
--- a/node/node/node.go
+++ b/node/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/carobmill/carobmill/node/entry"
 	"github.com/carobmill/carobmill/node/execute"
 	"github.com/carobmill/carobmill/node/fleet"
+	"github.com/carobmill/carobmill/node/intake"
 	"github.com/carobmill/carobmill/node/owner"
 	"github.com/carobmill/carobmill/node/peer"
 	"github.com/carobmill/carobmill/node/platform"
@@ -55,7 +56,7 @@
 	metrics   *telemetry.Metrics
 	callers   *caller.Handler
 
-	callerServer *http.Server
+	callerServer *intake.Server
 	adminServer  *http.Server
 	peerServer   *grpc.Server
 
@@ -170,12 +171,7 @@
 		Executor:     n.executor,
 		MaxBodyBytes: int64(limits.GetMaxBodyBytes()),
 	})
-	n.callerServer = &http.Server{
-		Handler:           n.callers,
-		MaxHeaderBytes:    caller.MaxHeaderBytes,
-		ReadHeaderTimeout: caller.ReadHeaderTimeout,
-		IdleTimeout:       caller.IdleTimeout,
-	}
+	n.callerServer = n.newCallerServer()
 	n.adminServer = &http.Server{
 		Handler: admin.NewHandler(admin.Options{
 			Ready:   n.Ready,
@@ -188,6 +184,23 @@
 	n.peerServer = peer.NewServer(n.fleet, n.owner, n, serverCreds)
 }
 
+// newCallerServer returns the HTTP server for callers.
+func (n *Node) newCallerServer() *intake.Server {
+	limits := n.settings.GetLimits()
+	budget := intake.NewBudget(intake.MachineOf(limits).Limits())
+	n.metrics.AddGaugeSource(budget.Report)
+	return intake.NewServer(intake.Options{
+		Handler:         n.callers,
+		Budget:          budget,
+		MaxHeaderBytes:  func() int64 { return caller.MaxHeaderBytes },
+		HeaderTimeout:   func() time.Duration { return caller.ReadHeaderTimeout },
+		MaxBodyBytes:    func() int64 { return int64(limits.GetMaxBodyBytes()) },
+		IdleTimeout:     func() time.Duration { return caller.IdleTimeout },
+		TransferTimeout: milliseconds(limits.GetTransferTimeoutMs()),
+		Reject:          n.callers.Reject,
+	})
+}
+
 // event records a decision of a component and logs it at debug level. The components log
 // the events that operators need.
 func (n *Node) event(kind, subject, detail string) {
