A reply without a final status is no reply

On another system a replica in trouble sent an answer with status 000, and the client got it.

Two faults behind it were seen. net/http reads three digits of any value: a reply with status 000 to 099 or 101 counted as a complete reply, whose request has run, or has not run if it says so (the caller got 503, with a status line that nobody should believe), and whose connection was used again. And a node that relays panicked at a relayed answer of such a status when it wrote it, or wrote 200 after an informational one; coordinators do not send these today.

Change: such a reply is mismatched. Its connection is closed and the request may have run. A relayed answer of such a status is a failure: 502.

Ordinary nodes already count such replies as failed.

--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -262,8 +262,8 @@
 	reply.Took = time.Since(sent)
 	// A late second reply to an earlier request could be mistaken for the reply to this
 	// one, and its refusal for a valid "not run". A reply without an ID is therefore
-	// rejected too.
-	mismatched := reply.Metadata.RequestID != f.RequestID
+	// rejected too. So is one without a final status, whose other fields are not reliable.
+	mismatched := reply.Metadata.RequestID != f.RequestID || !ValidStatus(resp.StatusCode)
 	switch {
 	case err != nil || int64(len(reply.Body)) > limit:
 		p.release(cn, false)
@@ -299,6 +299,12 @@
 	return ForwardReply{Reason: reason, Evidence: pb.Evidence_EVIDENCE_UNKNOWN, Took: took}
 }
 
+// ValidStatus reports whether a status is that of a complete answer: not an informational one, and
+// with three digits. net/http also reads others.
+func ValidStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+const maxStatus = 999
+
 // failedRead returns the outcome of an exchange whose reply was not read completely: with an error,
 // or because it exceeds the limit.
 func failedRead(f *ForwardRequest, err error, awaited bool, took time.Duration) ForwardReply {
