A relayed answer without a final status is a failure

Cause: a node writes the status of a relayed answer as it arrives. net/http panics at one below 100, and takes one below 200 as informational and writes 200 after it. Coordinators do not send these.

--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -116,9 +116,15 @@
 	}
 }
 
+// decodeAnswer decodes an answer. One that was passed on without a final status cannot be written to
+// the caller, and counts as a failure, after which the request may have run.
 func decodeAnswer(m *pb.RelayAnswer) forward.Answer {
+	outcome := decodeOutcome(m.GetOutcome())
+	if outcome == forward.Passed && !backend.ValidStatus(int(m.GetStatus())) {
+		return forward.Answer{Outcome: forward.Failed, Version: m.GetVersion(), Due: duration(m.GetDueUs())}
+	}
 	return forward.Answer{
-		Outcome:    decodeOutcome(m.GetOutcome()),
+		Outcome:    outcome,
 		Status:     int(m.GetStatus()),
 		Header:     decodeHeader(m.GetHeaders()),
 		Body:       m.GetBody(),
