A rejected head gets one answer and its own time limit

Found by reading. A caller whose incomplete head gave way to another request got three answers: 503 twice and 400. One that sent a head slowly on a connection with an earlier request had 10 s for it in place of header_timeout_ms.

Cause: net/http answers 400 after an unexpected end of a head, and reads on after the end was reported; it also sets its own deadline once the first bytes of a further request have been read.

Change: the sending direction is closed with the rejection, and the read ends with a timeout, after which net/http writes nothing. The deadline of a head is kept until its end. intake.Body panics at a request of another server, whose body would be lost otherwise.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -36,7 +36,8 @@
 	Store() directory.Store
 	// Dialect is the protocol of the backend servers.
 	Dialect() backend.Dialect
-	// Handler returns the HTTP handler for callers.
+	// Handler returns the HTTP handler for callers. Its requests have their whole bodies, which
+	// intake.Body returns.
 	Handler(Service) http.Handler
 }
 
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -28,12 +28,14 @@
 // Close implements io.Closer.
 func (*body) Close() error { return nil }
 
-// Body returns the complete body of a request that a Server has passed to its handler.
+// Body returns the complete body of a request that a Server has passed to its handler. It panics at
+// another request, since its body would be lost.
 func Body(r *http.Request) []byte {
-	if b, ok := r.Body.(*body); ok {
-		return b.data
+	b, ok := r.Body.(*body)
+	if !ok {
+		panic("intake: the request does not come from a Server")
 	}
-	return nil
+	return b.data
 }
 
 // readBody reads a whole body. take is called with the memory in bytes before it is used.
--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -39,6 +39,8 @@
 	// receiving is set from the first byte of a request until its head is complete, and
 	// serving from then on until the answer is complete.
 	receiving, serving bool
+	// headDeadline is when the head must be complete, while receiving is set.
+	headDeadline time.Time
 	// interrupted is set once the connection was evicted. Its deadlines do not change any more.
 	interrupted bool
 }
@@ -78,16 +80,25 @@
 	_ = c.Conn.SetDeadline(past)
 }
 
-// SetReadDeadline implements net.Conn. Between requests, the deadline is at most the idle
-// timeout of the configuration.
+// errEnded ends the reading of a request that was answered here. The HTTP server writes nothing
+// after an error of this kind, but does after io.EOF.
+var errEnded = os.ErrDeadlineExceeded
+
+// SetReadDeadline implements net.Conn. While a head is received and between requests, the deadline
+// is at most that of the configuration. No deadline, which the HTTP server sets at the end of a
+// head, is not changed.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.interrupted {
 		return nil
 	}
-	if d := c.options.idleTimeout(); d > 0 && !t.IsZero() && !c.receiving && !c.serving {
-		if limit := time.Now().Add(d); t.After(limit) {
+	if !t.IsZero() && !c.serving {
+		limit := c.headDeadline
+		if !c.receiving {
+			limit = time.Now().Add(c.options.idleTimeout())
+		}
+		if t.After(limit) {
 			t = limit
 		}
 	}
@@ -132,13 +143,13 @@
 		if c.headBytes() > 0 {
 			c.answer(http.StatusServiceUnavailable)
 		}
-		return 0, io.EOF
+		return 0, errEnded
 	case int64(c.headBytes()) > c.options.maxHeaderBytes()+headSlop:
 		c.reject(http.StatusRequestHeaderFieldsTooLarge, p)
-		return 0, io.EOF
+		return 0, errEnded
 	case !taken:
 		c.reject(http.StatusServiceUnavailable, p)
-		return 0, io.EOF
+		return 0, errEnded
 	}
 	return n, err
 }
@@ -151,8 +162,10 @@
 	if c.serving {
 		return 0, 0, false, true
 	}
-	first = len(p) > 0 && !c.receiving
-	c.receiving = c.receiving || first
+	if len(p) > 0 && !c.receiving {
+		first, c.receiving = true, true
+		c.headDeadline = time.Now().Add(c.options.headerTimeout())
+	}
 	size, lines = c.head.scan(p)
 	return size, lines, first, false
 }
@@ -167,10 +180,11 @@
 // beginHead is called with the first bytes of a request.
 func (c *Conn) beginHead() {
 	c.reservation.setPhase(policy.Receiving)
-	if d := c.options.headerTimeout(); d > 0 {
-		// An error means that the connection is closed; the next read reports it.
-		_ = c.SetReadDeadline(time.Now().Add(d))
-	}
+	c.mu.Lock()
+	deadline := c.headDeadline
+	c.mu.Unlock()
+	// An error means that the connection is closed; the next read reports it.
+	_ = c.SetReadDeadline(deadline)
 }
 
 // beginRequest is called with a complete head. It returns false if there is no memory for it.
@@ -203,7 +217,8 @@
 	c.reservation.setPhase(policy.Idle)
 }
 
-// answer writes a rejection. It does not wait for a caller that does not read.
+// answer writes a rejection, the last answer on the connection. It does not wait for a caller that
+// does not read.
 func (c *Conn) answer(status int) {
 	retry := ""
 	if status == http.StatusServiceUnavailable {
@@ -212,13 +227,13 @@
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTimeout))
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n",
 		status, http.StatusText(status), retry)
+	_ = c.CloseWrite()
 }
 
 // reject answers a request whose head is not read any further. The bytes that follow are
 // discarded through buffer.
 func (c *Conn) reject(status int, buffer []byte) {
 	c.answer(status)
-	_ = c.CloseWrite()
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	for discarded := 0; discarded < lingerBytes; {
 		n, err := c.Conn.Read(buffer)
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -217,10 +217,18 @@
 func TestHeadWithoutEndIsClosed(t *testing.T) {
 	run(t, wide, func(h *harness) {
 		c := h.connect()
-		c.send(get)
-		began := time.Now()
-		c.checkAnswer(0, "")
-		h.Check(time.Since(began) <= headerTimeout+time.Second, qt.IsTrue)
+		for _, first := range []string{"", get + "\r\n"} {
+			c.send(first)
+			if first != "" {
+				c.checkAnswer(http.StatusOK, "0 bytes")
+			}
+			time.Sleep(time.Second)
+			c.send(get)
+			began := time.Now()
+			c.checkAnswer(0, "")
+			h.Check(time.Since(began) <= headerTimeout+time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+			c = h.connect()
+		}
 	})
 }
 
@@ -324,6 +332,26 @@
 	})
 }
 
+// Guards against a second answer after the rejection of a head that gives way.
+func TestStalledHeadGivesWayWithOneAnswer(t *testing.T) {
+	run(t, policy.Limits{Connections: 2}, func(h *harness) {
+		var stalled []*client
+		for range 2 {
+			c := h.connect()
+			c.send(get)
+			stalled = append(stalled, c)
+		}
+		time.Sleep(2 * time.Second)
+		c := h.connect()
+		c.send(get + "\r\n")
+		c.checkAnswer(http.StatusOK, "0 bytes")
+		rest, err := io.ReadAll(stalled[0].answers)
+		h.Check(err, qt.IsNil)
+		h.Check(strings.Count(string(rest), "HTTP/1.1"), qt.Equals, 1, qt.Commentf("%q", rest))
+		h.Check(strings.HasPrefix(string(rest), "HTTP/1.1 503 "), qt.IsTrue)
+	})
+}
+
 // Guards against a crowd of connections that keeps out ordinary callers, and against idle
 // connections that are closed after they sent a request.
 func TestNewConnectionsFindRoom(t *testing.T) {
