Stricter tests of the budget of callers

The tests now also check that idle connections outlive stalled ones, pipelined heads that arrive together, the end of a rejected body, the context of a slow request, unread answers on connections whose writes wait, and silent connections while memory is short.

--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -72,6 +72,10 @@
 func (h *harness) serve(w http.ResponseWriter, r *http.Request) {
 	h.served.Add(1)
 	time.Sleep(time.Duration(h.work.Load()))
+	if r.Context().Err() != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%d bytes", len(intake.Body(r)))
 }
 
@@ -260,10 +264,15 @@
 			post(maxBodyBytes + 1),
 			fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
 				maxBodyBytes+1, strings.Repeat("b", maxBodyBytes+1)),
+			fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+				2*maxBodyBytes, strings.Repeat("b", maxBodyBytes+1)),
 		} {
 			c := h.connect()
 			c.send(request)
 			c.checkAnswer(http.StatusRequestEntityTooLarge, "")
+			began := time.Now()
+			c.checkAnswer(0, "")
+			h.Check(time.Since(began) <= 2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
 		}
 		h.Check(h.served.Load(), qt.Equals, int64(0))
 	})
@@ -302,10 +311,7 @@
 	run(t, policy.Limits{Memory: 256 << 10, Connections: 3}, func(h *harness) {
 		h.work.Store(int64(time.Second))
 		c := h.connect()
-		odd := get + strings.Repeat("a:\r\n", 600) + "\r\n"
-		c.send(get + "\r\n")
-		time.Sleep(10 * time.Millisecond)
-		c.send(odd)
+		c.send(get + "\r\n" + get + strings.Repeat("a:\r\n", 600) + "\r\n")
 		c.checkAnswer(http.StatusOK, "0 bytes")
 		time.Sleep(10 * time.Millisecond)
 		h.Check(h.gauge("caller_memory_bytes") > policy.ConnectionCost+600*100, qt.IsTrue)
@@ -364,9 +370,19 @@
 		idle := h.connect()
 		idle.send(get + "\r\n")
 		idle.checkAnswer(http.StatusOK, "0 bytes")
-		for range 100 {
+		for n := range 100 {
 			c := h.connect()
 			c.send("G")
+			if n == 7 {
+				time.Sleep(2 * time.Second)
+				idle.send(get + "\r\n")
+				idle.checkAnswer(http.StatusOK, "0 bytes")
+			}
+			if n == 9 {
+				// Two that were stalled have given way to the newest two.
+				idle.send(get + "\r\n")
+				idle.checkAnswer(http.StatusOK, "0 bytes")
+			}
 		}
 		ordinary := h.connect()
 		ordinary.send(get + "\r\n")
@@ -391,3 +407,55 @@
 		h.Check(time.Since(began) <= idleTimeout+time.Second, qt.IsTrue)
 	})
 }
+
+// pipeListener accepts the server ends of pipes, on which writes wait for a reader.
+type pipeListener struct{ conns chan net.Conn }
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	conn, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (l pipeListener) Close() error { return nil }
+
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against answers that are held without a time limit for callers that do not read them, and
+// that keep out other callers.
+func TestUnreadAnswerGivesWayAndEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		budget := intake.NewBudget(policy.Limits{Connections: 1})
+		failures := make(chan error, 2)
+		server := intake.NewServer(intake.Options{
+			Budget:          budget,
+			MaxBodyBytes:    func() int64 { return maxBodyBytes },
+			TransferTimeout: transferTimeout,
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, err := w.Write(make([]byte, 1<<20))
+				failures <- err
+			}),
+		})
+		listener := pipeListener{conns: make(chan net.Conn)}
+		go func() { _ = server.Serve(listener) }()
+		began := time.Now()
+		for range 2 {
+			caller, conn := net.Pipe()
+			defer func() { _ = caller.Close() }()
+			listener.conns <- conn
+			_, err := io.WriteString(caller, get+"\r\n")
+			c.Assert(err, qt.IsNil)
+			time.Sleep(2 * time.Second)
+		}
+		c.Check(<-failures, qt.IsNotNil)
+		c.Check(time.Since(began) < transferTimeout, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+		c.Check(<-failures, qt.IsNotNil)
+		c.Check(time.Since(began) <= transferTimeout+4*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+		close(listener.conns)
+		_ = server.Close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/policy/intake/ledger_test.go
+++ b/policy/intake/ledger_test.go
@@ -42,18 +42,21 @@
 
 // Guards against a crowd of connections that keeps out ordinary callers.
 func TestNewConnectionReplacesOneThatWaitsForItsCaller(t *testing.T) {
-	l := newLedger(t, intake.Limits{Connections: 4})
+	l := newLedger(t, intake.Limits{Connections: 5})
 	served := l.open("served", start)
 	l.SetPhase(served, intake.Serving, start)
 	idle := l.open("idle", start)
 	l.SetPhase(idle, intake.Idle, start)
 	l.open("stalled", start.Add(time.Second))
+	unread := l.open("unread", start)
+	l.SetPhase(unread, intake.Sending, start.Add(time.Second))
 	l.open("recent", start.Add(2*time.Second))
 	now := start.Add(2500 * time.Millisecond)
 	l.Check(l.evictedBy(now), qt.Equals, "stalled")
+	l.Check(l.evictedBy(now), qt.Equals, "unread")
 	l.Check(l.evictedBy(now), qt.Equals, "idle")
 	l.Check(l.evictedBy(now), qt.Equals, "recent")
-	l.Check(l.Counts().Connections, qt.Equals, 4)
+	l.Check(l.Counts().Connections, qt.Equals, 5)
 }
 
 // Guards against a complete request that is interrupted for a new connection.
@@ -98,6 +101,7 @@
 // Guards against bodies without end that keep out other large requests.
 func TestStalledRequestsGiveWayToOthers(t *testing.T) {
 	l := newLedger(t, intake.Limits{Memory: 16 * megabyte})
+	silent := l.open("silent", start)
 	holders := l.fill(start)
 	served := holders[0]
 	l.SetPhase(served, intake.Serving, start)
@@ -107,6 +111,7 @@
 	l.Assert(ok, qt.IsTrue)
 	l.Assert(evicted, qt.HasLen, 1)
 	l.Check(evicted[0], qt.Equals, holders[1])
+	l.Check(silent.Evicted(), qt.IsFalse)
 	l.Check(served.Evicted(), qt.IsFalse)
 	_, ok = l.Take(evicted[0], 1, now)
 	l.Check(ok, qt.IsFalse)
