Count the buffers of messages between nodes, and leave room for the program

Cause: gRPC encodes a message of more than 32 KB into a pooled buffer of 1 MB, and a small node relays each body in one. Its buffers held ten times the bodies that were counted. The garbage of buffers that double, and a heap limit that left 22 MB for the program and for what the collector has not freed yet, added to it.

Change: a message of more than 32 KB counts 1 MB more while its request runs. A body's buffer grows fourfold. The collector is told 70% of what exceeds 16 MB. The receiving node counts what it decodes.

--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -69,14 +69,25 @@
 
 // MessageCost returns the memory of a message to another node with the request.
 func (r *Request) MessageCost() int64 {
-	headers, size := 0, 0
+	headers, size := r.headerSize()
+	return intake.MessageCost(headers, size, len(r.Body))
+}
+
+// ReceivedCost returns the memory of the request if it came in a message from another node.
+func (r *Request) ReceivedCost() int64 {
+	headers, size := r.headerSize()
+	return intake.ReceivedCost(headers, size, len(r.Body))
+}
+
+// headerSize returns the number of header lines and their size in bytes.
+func (r *Request) headerSize() (lines, size int) {
 	for name, values := range r.Header {
-		headers += len(values)
+		lines += len(values)
 		for _, v := range values {
 			size += len(name) + len(v)
 		}
 	}
-	return intake.MessageCost(headers, size, len(r.Body))
+	return lines, size
 }
 
 // Outcome is how a request ended.
--- a/node/forward/servebatch.go
+++ b/node/forward/servebatch.go
@@ -25,7 +25,7 @@
 		// After a pause of this process, a batch may arrive together with its cancellation.
 		return ctx.Err()
 	}
-	if !b.Request.HasMemory(b.Request.MessageCost() + intake.CopiesCost(len(b.Replicas), len(b.Request.Header))) {
+	if !b.Request.HasMemory(b.Request.ReceivedCost() + intake.CopiesCost(len(b.Replicas), len(b.Request.Header))) {
 		return deliver(unsentBatch(b))
 	}
 	c := f.contentOf(b.Request)
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -9,8 +9,13 @@
 	"github.com/pkg/errors"
 )
 
-// firstBodyBytes is the memory for a body before any of its bytes have arrived.
-const firstBodyBytes = 4 << 10
+const (
+	// firstBodyBytes is the memory for a body before any of its bytes have arrived.
+	firstBodyBytes = 4 << 10
+	// bodyGrowth is by how much the buffer of a body grows when it is full. The buffers before
+	// it are garbage: a third of the last one together.
+	bodyGrowth = 4
+)
 
 var (
 	// ErrNoMemory means that the budget of callers has no room.
@@ -64,7 +69,7 @@
 			if int64(len(data)) == most {
 				return data, nil
 			}
-			size := min(max(int64(2*cap(data)), firstBodyBytes), most)
+			size := min(max(int64(bodyGrowth*cap(data)), firstBodyBytes), most)
 			if !take(size - int64(cap(data))) {
 				return nil, ErrNoMemory
 			}
--- a/node/relay/server.go
+++ b/node/relay/server.go
@@ -131,7 +131,7 @@
 	req := decodeRelayRequest(m, now)
 	release := s.reserveMemory(req)
 	defer release()
-	if !req.HasMemory(req.MessageCost()) {
+	if !req.HasMemory(req.ReceivedCost()) {
 		return stream.Send(refusalResponse(pb.RelayRefusal_RELAY_REFUSAL_NO_MEMORY))
 	}
 	if err := stream.Send(&pb.RelayResponse{Event: &pb.RelayResponse_Offer{Offer: true}}); err != nil {
--- a/policy/intake/limits.go
+++ b/policy/intake/limits.go
@@ -22,9 +22,10 @@
 	connectionMemoryShare = 0.5
 	// descriptorShare is the share of a node's descriptors that callers' connections may use.
 	descriptorShare = 0.5
-	// heapShare is the share of a node's memory from which the garbage collector runs more
-	// often.
-	heapShare = 0.65
+	// fixedMemory is the memory of the program that the garbage collector does not manage, and
+	// heapShare the share of the remainder from which the collector runs more often.
+	fixedMemory = 16 << 20
+	heapShare   = 0.7
 )
 
 // Machine is what a process may use. Zero values mean no bound.
@@ -57,7 +58,12 @@
 }
 
 // HeapLimit returns the limit of the garbage collector in bytes; 0 for none.
-func (m Machine) HeapLimit() int64 { return int64(float64(m.Memory) * heapShare) }
+func (m Machine) HeapLimit() int64 {
+	if m.Memory == 0 {
+		return 0
+	}
+	return int64(float64(max(m.Memory-fixedMemory, fixedMemory)) * heapShare)
+}
 
 const (
 	// headByteCost covers a byte of a head in the read buffer, in the line that grows with it
@@ -72,6 +78,10 @@
 	// ordinaryMessage the size of messages between nodes that are not counted.
 	ordinaryHeaders = 32
 	ordinaryMessage = 16 << 10
+	// smallBuffer and largeBuffer are sizes of the pooled buffers that gRPC encodes messages
+	// into: a message that exceeds the former takes the latter.
+	smallBuffer = 32 << 10
+	largeBuffer = 1 << 20
 )
 
 // HeadCost returns the memory of a head with this many bytes and lines, once it is parsed.
@@ -82,13 +92,21 @@
 	return int64(copies) * int64(max(0, headers-ordinaryHeaders)) * copiedHeaderCost
 }
 
-// MessageCost returns the memory of a request in a message between nodes, with this many
-// headers of this many bytes together, and a body. The message holds what it is encoded from or
-// decoded to.
-func MessageCost(headers, size, body int) int64 {
+// ReceivedCost returns the memory of a request that came in a message from another node, with this
+// many headers of this many bytes together, and a body.
+func ReceivedCost(headers, size, body int) int64 {
 	cost := HeadCost(size, headers) + int64(body)
 	if cost <= ordinaryMessage {
 		return 0
 	}
 	return cost
 }
+
+// MessageCost returns the memory of a message to another node with a request, as in ReceivedCost.
+func MessageCost(headers, size, body int) int64 {
+	cost := ReceivedCost(headers, size, body)
+	if encoded := int64(size + body); encoded > smallBuffer {
+		cost += max(encoded, largeBuffer)
+	}
+	return cost
+}
--- a/policy/intake/limits_test.go
+++ b/policy/intake/limits_test.go
@@ -46,3 +46,13 @@
 		c.Check(float64(cost) < room, qt.IsTrue, qt.Commentf("%+v: %d of %.0f", m, cost, room))
 	}
 }
+
+// Guards against messages between nodes whose buffers are many times their size.
+func TestMessageCostCoversItsBuffer(t *testing.T) {
+	c := qt.New(t)
+	c.Check(intake.MessageCost(10, 500, 1000), qt.Equals, int64(0))
+	c.Check(intake.MessageCost(10, 500, 100000) > megabyte+100000, qt.IsTrue)
+	c.Check(intake.MessageCost(10, 500, 3*megabyte) > 6*megabyte, qt.IsTrue)
+	c.Check(intake.ReceivedCost(10, 500, 1000), qt.Equals, int64(0))
+	c.Check(intake.ReceivedCost(10, 500, 100000) < 110000, qt.IsTrue)
+}
