--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -106,23 +106,19 @@
 }
 
 // SetWriteDeadline implements net.Conn.
-func (c *Conn) SetWriteDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.interrupted {
-		return nil
-	}
-	return c.Conn.SetWriteDeadline(t)
-}
+func (c *Conn) SetWriteDeadline(t time.Time) error { return c.setDeadline(c.Conn.SetWriteDeadline, t) }
 
 // SetDeadline implements net.Conn.
-func (c *Conn) SetDeadline(t time.Time) error {
+func (c *Conn) SetDeadline(t time.Time) error { return c.setDeadline(c.Conn.SetDeadline, t) }
+
+// setDeadline calls set unless the connection was evicted.
+func (c *Conn) setDeadline(set func(time.Time) error, t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.interrupted {
 		return nil
 	}
-	return c.Conn.SetDeadline(t)
+	return set(t)
 }
 
 // Read implements net.Conn. The memory of a head is taken as its bytes arrive, before they are
