Never send an unsafe request again to a replica that refused it

Cause: a refused request was sent again to the replica that had refused it, with the same ID. A copy of the first refusal counts as the reply to the second attempt, whose ID is right, and the evidence "not run" is then wrong.

With the route's attempts used up, it is refused at once. This needs no history of connections: the reply to the only attempt at a replica can be a copy of nothing else with that ID. Idempotent requests return as before, since another run does no harm. Relayed requests are run by one coordinator only, batches gather only; both by reading.

Weighed: a second refusal that counts as unknown (callers then may not repeat what most likely has not run), closing connections after refusals (a copy may come on another one), a history of IDs (no bound covers a late copy).

--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -21,14 +21,17 @@
 	return true
 }
 
-// sendRetry sends an attempt to a replica that refused one, or to an untried replica if the
-// shard may use another one. It reports whether the attempt was sent.
+// sendRetry sends an attempt to a replica that refused one, if the request may return there, or
+// to an untried replica if the shard may use another one. It reports whether the attempt was sent.
 func (q *exchange) sendRetry(i int) bool {
 	request := q.pickRequest(i, false, q.f.opts.Source.FleetSize())
 	more := q.query.HasUntriedReplica(i)
 	request.Tried = func(id string) bool {
 		tried, refused := q.tried(i, id)
-		return tried && !refused || !tried && !more
+		if tried {
+			return !refused || !q.query.MayReturn()
+		}
+		return !more
 	}
 	if !q.reserveWith(i, request) {
 		return false
@@ -153,11 +156,13 @@
 }
 
 // tried reports whether a replica had an attempt for a shard, and whether it refused all of
-// them.
+// them. An attempt for another replica at the same address counts: a second copy of its reply
+// comes from the process that listens there.
 func (q *exchange) tried(shard int, id string) (tried, refused bool) {
+	address := q.f.addressOf(id)
 	refused = true
 	for i := range q.attempts {
-		if a := &q.attempts[i]; a.shard == shard && a.replica.ID == id {
+		if a := &q.attempts[i]; a.shard == shard && (a.replica.ID == id || a.replica.Address == address) {
 			tried = true
 			refused = refused && a.refused
 		}
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -331,6 +331,14 @@
 	return before
 }
 
+// addressOf returns the address of a replica of the newest view; empty for another one.
+func (f *Forwarder) addressOf(id string) string {
+	if current := f.replicas.Load(); current != nil && (*current)[id] != nil {
+		return (*current)[id].Address
+	}
+	return ""
+}
+
 // hasReplicas reports whether the service has usable replicas.
 func (s *service) hasReplicas() bool {
 	s.mu.Lock()
--- a/node/forward/harness_test.go
+++ b/node/forward/harness_test.go
@@ -89,6 +89,10 @@
 	conns    []net.Conn
 	// expired holds the connections that are closed when the next request arrives on them.
 	expired map[net.Conn]bool
+	// copies sends second copies of refusals; nil for none.
+	copies *refusalCopies
+	// runs counts the runs of each request ID.
+	runs map[string]int
 }
 
 // expireConnections makes each open connection close when the next request arrives on it, as
@@ -152,6 +156,9 @@
 		r.refusals--
 		return 0, r.pace, true
 	}
+	if r.copies.refuses() {
+		return 0, r.pace, true
+	}
 	return r.latency, r.pace, false
 }
 
@@ -186,13 +193,14 @@
 		time.Sleep(silentFor + latency)
 		id := req.Header.Get(headerID)
 		var out bytes.Buffer
+		r.recordRun(id, refused)
 		if refused {
 			fmt.Fprintf(&out, "HTTP/1.1 503 Busy\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerID, id, headerNotRun)
 		} else {
 			fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: of-%s\r\n%s: %d\r\nContent-Length: 16\r\n\r\n%s",
 				headerID, id, headerSignature, r.ID, headerPace, pace, record(r.ID))
 		}
-		if _, err := conn.Write(out.Bytes()); err != nil {
+		if _, err := conn.Write(r.withCopies(out.Bytes(), refused)); err != nil {
 			return
 		}
 	}
@@ -261,6 +269,7 @@
 		Replica: registry.Replica{ID: id, Service: shard, Address: l.Addr().String(), DataCentre: dc},
 		latency: 5 * time.Millisecond,
 		expired: make(map[net.Conn]bool),
+		runs:    make(map[string]int),
 	}
 	h.replicas[id] = rep
 	h.view.Replicas[shard] = append(h.view.Replicas[shard], &rep.Replica)
--- a/policy/gather/gather.go
+++ b/policy/gather/gather.go
@@ -118,16 +118,20 @@
 }
 
 const (
-	// maxRefusalRetries is the number of retries at replicas that refused, once the
-	// attempts of a shard are used up. refusalBackoff is the pause before the first; it
-	// doubles each time. A refused attempt has not run, so the same replica may receive
-	// it again. Replicas drain a full queue within some ten milliseconds.
+	// maxRefusalRetries is the number of retries after refusals, once the attempts of a
+	// shard are used up or have no replica. refusalBackoff is the pause before the first; it
+	// doubles each time. Replicas drain a full queue within some ten milliseconds.
 	maxRefusalRetries = 4
 	refusalBackoff    = 5 * time.Millisecond
 )
 
-// ScheduleRetry schedules another attempt at a replica that refused, and reports whether one
-// is left. Without these retries, replicas that refuse every second request cause more lost
+// MayReturn reports whether the request may be sent again to a replica that refused it. A request
+// that is not idempotent may not: a second copy of the refusal can arrive at any later time, on any
+// connection of the replica. It would count as the reply to the new attempt, which runs.
+func (q *Query) MayReturn() bool { return q.params.Idempotent }
+
+// ScheduleRetry schedules another attempt after a refusal, and reports whether one is left.
+// Without these retries, replicas that refuse every second request cause more lost
 // shards than MinCoverage allows. While the first attempt is in flight, a refused hedge is
 // retried only if the request cannot succeed without the shard: otherwise a pause of one
 // replica and a refusal of another delay the answer.
@@ -136,6 +140,9 @@
 	if s.answered || s.exhausted || s.refusalRetries >= maxRefusalRetries {
 		return false
 	}
+	if !q.MayReturn() && !q.HasUntriedReplica(i) {
+		return false
+	}
 	if s.inFlight > 0 && q.Dispensable(i) {
 		return false
 	}
