Refuse requests that may outlast a stopping node

Cause: after SIGTERM a node reads new requests for the balancer lag (3.3 s) and ends at 5.7 s of 6. Nothing compared what a request needs with what is left. Requests without a result were cut with their connections at the end.

Change: once its stop is planned, a node sends an attempt (first, retry, hedge) only if it ends before the node does: by the request's deadline, or by the longest latency of its route, which policy/shutdown decides. Others are refused as not run, at once, with Connection: close and a Retry-After until the balancer uses other nodes only; so are requests that wait for room and do not fit any more. A relayed request states when its sender stops (stops_in_us), and the coordinator decides by that too. A stopping node returns a batch unsent if its deadline does not fit. A request without a result gets 504 before the end.

Weighed: the deadline alone refuses requests of 60 ms whose callers would wait for 6 s; reading no requests any more refuses those that fit.

--- a/node/forward/admission.go
+++ b/node/forward/admission.go
@@ -110,7 +110,7 @@
 	if !a.applies(q) {
 		return true
 	}
-	if q.checkQuarantine().Refused {
+	if q.checkQuarantine().Refused || q.refusesToOutlast(time.Now()) {
 		// It would be refused after the wait too.
 		return false
 	}
@@ -252,6 +252,7 @@
 
 // dispatch starts the waiting requests that have room, in their order. The caller holds a.mu.
 func (a *admission) dispatch(now time.Time) {
+	a.refuseOutlasting(now)
 	for _, k := range a.kinds {
 		if k.waiting > 0 {
 			k.observe(now)
@@ -369,6 +370,20 @@
 	return false
 }
 
+// refuseOutlasting refuses the waiting requests that may not end any more before this node stops.
+// The caller holds a.mu.
+func (a *admission) refuseOutlasting(now time.Time) {
+	if a.f.stop.Load() == nil {
+		return
+	}
+	for e, w := range a.waiters {
+		if w.q.outlastsNode(now) {
+			a.queue.Remove(e)
+			a.settle(w, fairshare.Stopping)
+		}
+	}
+}
+
 // RefuseWaiting refuses all waiting requests, before the node stops. From then on, none waits.
 func (f *Forwarder) RefuseWaiting() {
 	a := f.admission
--- a/node/forward/admission_test.go
+++ b/node/forward/admission_test.go
@@ -208,6 +208,24 @@
 	})
 }
 
+// Guards against requests that wait for room although they cannot end any more before the node
+// stops.
+func TestWaitingRequestThatOutlastsItsNodeIsRefused(t *testing.T) {
+	withHarness(t, shards(1, "a"), func(h *harness) {
+		h.replicas["s0-a"].set(func(r *replica) { r.latency = 100 * ms })
+		f, decisions := admissionNode(h, true)
+		first, waiting := send(f, "/report/s0/"), send(f, "/urgent/")
+		f.StopAt(forward.Stop{AnswerBy: time.Now().Add(50 * ms)})
+		for _, s := range []*sent{waiting, send(f, "/urgent/")} {
+			h.Assert(s.wait().Outcome, qt.Equals, forward.NotRun)
+			h.Assert(s.took <= 5*ms, qt.IsTrue, qt.Commentf("took %v", s.took))
+		}
+		h.Assert(decisions.all(), qt.HasLen, 2)
+		h.Assert(first.wait().Outcome, qt.Equals, forward.Passed)
+		h.Assert(h.replicas["s0-a"].requestCount(), qt.Equals, 1)
+	})
+}
+
 // Guards against accounts that are rationed because the replicas of a shard are silent: the
 // requests are refused at once instead, as without admission.
 func TestSilentShardMakesNothingWait(t *testing.T) {
--- a/node/forward/answer.go
+++ b/node/forward/answer.go
@@ -82,6 +82,9 @@
 	if q.admission.retryAfter > 0 {
 		return q.admission.retryAfter
 	}
+	if q.stopped {
+		return q.stopRetryAfter()
+	}
 	wait := minRetryAfter
 	for _, s := range q.services {
 		if s == nil {
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -57,6 +57,10 @@
 		q.deny(i, deniedYields, request.Optional)
 		return false
 	}
+	if q.refusesToOutlast(now) {
+		q.deny(i, deniedStopping, request.Optional)
+		return false
+	}
 	s.mu.Lock()
 	denied := q.denyUnservable(now, i, extra)
 	var st *upstream.State
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -47,6 +47,8 @@
 	// caller waits from then on; 0 when the caller did not state it.
 	Arrived       time.Time
 	CallerTimeout time.Duration
+	// AnswerBy is when the node that received the request stops; zero if it does not.
+	AnswerBy time.Time
 	// TransitReserve is the part of the route's objective that is spent outside the
 	// gathering node: transit between the caller and its node, and of the answer through
 	// other nodes; 0 when unknown.
@@ -207,6 +209,8 @@
 	reach     *reachability
 	suspects  *suspects
 	admission *admission
+	// stop is set once the stop of this node is planned.
+	stop atomic.Pointer[Stop]
 	// gates is the number of services with a gate.
 	gates atomic.Int64
 	// replicas holds the replicas of the newest view by ID.
--- a/node/forward/requestlog.go
+++ b/node/forward/requestlog.go
@@ -85,6 +85,9 @@
 	deniedNoTime = "no time"
 	// deniedYields: a first attempt of a higher priority waits for room at the service.
 	deniedYields = "yields"
+	// deniedStopping: the attempt may not end before this node, or the one that received the
+	// request, stops.
+	deniedStopping = "stopping"
 )
 
 // denialEntry is one denial as written in the log line of its request.
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -66,6 +66,8 @@
 	hedged int
 	// cancelled is set when the caller has disconnected.
 	cancelled bool
+	// stopped is set once an attempt was not sent because a node stops.
+	stopped bool
 	// suspect is set if the request was suspected of crashing replicas while it ran.
 	suspect bool
 	trials  trials
--- a/node/forward/servebatch.go
+++ b/node/forward/servebatch.go
@@ -25,6 +25,9 @@
 		// After a pause of this process, a batch may arrive together with its cancellation.
 		return ctx.Err()
 	}
+	if s := f.stop.Load(); s != nil && b.Deadline.After(s.AnswerBy) {
+		return deliver(unsentBatch(b))
+	}
 	if !b.Request.HasMemory(b.Request.ReceivedCost() + intake.CopiesCost(len(b.Replicas), len(b.Request.Header))) {
 		return deliver(unsentBatch(b))
 	}
--- a/node/gateway/assemble.go
+++ b/node/gateway/assemble.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -65,6 +67,7 @@
 
 		quarantined: make(chan struct{}, 1),
 	}
+	g.requests, g.endRequests = context.WithCancel(context.Background())
 	self := coordinator.Member{
 		Node:       settings.GetNode(),
 		Address:    settings.GetPeerAddress(),
@@ -128,7 +131,7 @@
 			}
 			return v.Index.Accounts, v.Index.Version
 		},
-		Available: func() bool { return g.directory.Synced() && !g.stopping.Load() },
+		Available: func() bool { return g.directory.Synced() && !g.stopping() },
 		Log:       g.log,
 		Event:     g.recordEvent,
 	})
@@ -200,7 +203,7 @@
 		Store:     store,
 		Peers:     relay.NewUpgradeClient(g.peers),
 		Gates:     g.forwarder,
-		Leaving:   g.stopping.Load,
+		Leaving:   g.stopping,
 		Log:       g.log,
 		Event:     g.recordEvent,
 	})
@@ -216,7 +219,7 @@
 		Follow:     g.directory.Follow,
 		Local:      g.forwarder,
 		Registered: g.directory.RegisteredNodes,
-		Leaving:    g.stopping.Load,
+		Leaving:    g.stopping,
 
 		ReadsPerSecond: g.settings.GetForwarding().GetStoreReadsPerS(),
 		Log:            g.log,
@@ -227,7 +230,7 @@
 		Local:     g.forwarder,
 		Upgrades:  g.upgrader,
 		Quota:     g.quota,
-		Leaving:   g.stopping.Load,
+		Leaving:   g.stopping,
 		Memory:    g.intake,
 
 		Observations: g.exchange,
@@ -246,6 +249,7 @@
 		TransferTimeout: time.Duration(g.settings.GetLimits().GetTransferTimeoutMs()) * time.Millisecond,
 		ConnContext:     withCallerConn,
 	})
+	g.callerServer.BaseContext = func(net.Listener) context.Context { return g.requests }
 	g.adminServer = &http.Server{
 		Handler: admin.NewHandler(admin.Options{
 			Ready:   g.Ready,
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -44,8 +44,8 @@
 // Service answers callers' requests.
 type Service interface {
 	Serve(ctx context.Context, req *forward.Request) forward.Answer
-	// Closing reports whether a caller's connection is to be closed after its answer.
-	Closing() bool
+	// Closing reports whether a caller's connection is to be closed after an answer.
+	Closing(a *forward.Answer) bool
 }
 
 // Gateway is one forwarding node.
@@ -74,9 +74,14 @@
 
 	// unservingSince is when this node became unable to answer callers; nil while it can.
 	unservingSince atomic.Pointer[time.Time]
-	// stopping is set when a graceful shutdown begins. closing is set when callers'
-	// connections are to be closed after their answers.
-	stopping, closing atomic.Bool
+	// stop is set when a graceful shutdown begins. closing is set when callers' connections are
+	// to be closed after their answers.
+	stop    atomic.Pointer[forward.Stop]
+	closing atomic.Bool
+	// requests is the context of all requests of callers. endRequests ends it, and with it the
+	// requests that have no answer yet.
+	requests    context.Context
+	endRequests context.CancelFunc
 	// quarantined is signalled when this node has quarantined a request.
 	quarantined chan struct{}
 }
@@ -168,6 +173,9 @@
 	if r := intake.ReservationOf(ctx); r != nil {
 		req.TakeMemory = r.Take
 	}
+	if stop := g.stop.Load(); stop != nil {
+		req.AnswerBy = stop.AnswerBy
+	}
 	req.LinkBytesPerSecond = forwarding.GetLinkMbps() * bytesPerMegabit
 	a := g.relay.Serve(ctx, req)
 	if a.Outcome == forward.NotRun {
@@ -195,20 +203,24 @@
 	return int64(g.settings.GetLimits().GetMaxBodyBytes())
 }
 
-// Closing implements Service.
-func (g *Gateway) Closing() bool {
+// Closing implements Service. A caller that a stopping node refuses reaches another node only on a
+// new connection.
+func (g *Gateway) Closing(a *forward.Answer) bool {
 	serving, _ := g.serving()
-	return g.closing.Load() || !serving
+	return g.closing.Load() || !serving || g.stop.Load() != nil && a.Outcome == forward.NotRun
 }
 
 // Ready reports whether the balancer may send callers to this node, and if not, the reason.
 func (g *Gateway) Ready() (bool, string) {
-	if g.stopping.Load() {
+	if g.stopping() {
 		return false, "shutting down"
 	}
 	return g.serving()
 }
 
+// stopping reports whether a graceful shutdown has begun.
+func (g *Gateway) stopping() bool { return g.stop.Load() != nil }
+
 // serving reports whether this node can answer callers, itself or through a coordinator,
 // and if not, the reason.
 func (g *Gateway) serving() (bool, string) {
@@ -329,6 +341,7 @@
 		g.log.WithError(err).Error("listener failed")
 	}
 	stop()
+	g.endRequests()
 	_ = g.callerServer.Close()
 	_ = g.adminServer.Close()
 	g.peerServer.Stop()
--- a/node/gateway/observation.go
+++ b/node/gateway/observation.go
@@ -17,7 +17,7 @@
 		Boot:      g.boot,
 		Peers:     relay.NewObservationClient(g.peers),
 		Fleet:     g.directory.Fleet,
-		Available: func() bool { return g.directory.Synced() && !g.stopping.Load() },
+		Available: func() bool { return g.directory.Synced() && !g.stopping() },
 		Isolated:  func() bool { return g.forwarder.Isolated() },
 		Always:    g.settings.GetForwarding().GetShareObservations(),
 		Apply:     func(list []policyobservation.Observation) { g.forwarder.ApplyObservations(list) },
--- a/node/gateway/shutdown.go
+++ b/node/gateway/shutdown.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carobmill/carobmill/node/forward"
 	"github.com/carobmill/carobmill/node/ring"
 )
 
@@ -19,16 +20,23 @@
 	// deadline. A peer that lost power never closes its connection. Without the margin, the
 	// wait for it could last until the process is killed.
 	peerStopMargin = 300 * time.Millisecond
+	// finalAnswerMargin is the time between the final answers to requests without a result and the
+	// shutdown deadline, when their connections are closed.
+	finalAnswerMargin = 100 * time.Millisecond
 )
 
 // shutdown stops the node without interrupting requests. The balancer continues to send
 // callers until it detects that the node is unready, so the node serves them during the
-// balancer lag. Then the listener closes and requests in flight finish.
+// balancer lag, except those that may outlast it. Then the listener closes and requests in flight
+// finish. One without a result gets an answer that says so before the node stops.
 func (g *Gateway) shutdown() {
 	start := time.Now()
 	lag := time.Duration(g.settings.GetTiming().GetBalancerLagMs()) * time.Millisecond
 	end := start.Add(seconds(g.settings.GetForwarding().GetGraceS()) - killMargin)
-	g.stopping.Store(true)
+	stop := forward.Stop{AnswerBy: end.Add(-peerStopMargin), RetryAt: start.Add(balancerReactionTime)}
+	g.forwarder.StopAt(stop)
+	g.stop.Store(&stop)
+	defer time.AfterFunc(time.Until(end.Add(-finalAnswerMargin)), g.endRequests).Stop()
 	g.ring.Add(ring.Shutdown, g.settings.GetNode(), "unready")
 	g.log.Info("shutdown: unready, serving until the balancer stops sending callers")
 	time.Sleep(time.Duration(closeConnsAfter * float64(lag)))
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -23,6 +23,10 @@
 	m.DeliveryUs = microseconds(reserve - req.TransitReserve)
 	m.LinkBytesPerS = uint64(max(req.LinkBytesPerSecond, 0))
 	m.Credentials = encodeStrings(req.Credentials)
+	if !req.AnswerBy.IsZero() {
+		// 0 would mean that the sender does not stop.
+		m.StopsInUs = max(microseconds(time.Until(req.AnswerBy)), 1)
+	}
 	return &pb.RelayMessage{Event: &pb.RelayMessage_Request{Request: m}}
 }
 
@@ -44,6 +48,9 @@
 // the other headers.
 func decodeRelayRequest(m *pb.RelayRequest, now time.Time) *forward.Request {
 	req := decodeRequest(m, now)
+	if left := m.GetStopsInUs(); left > 0 {
+		req.AnswerBy = now.Add(duration(left))
+	}
 	if credentials := forward.TakeCredentials(req.Header); len(req.Credentials) == 0 {
 		req.Credentials = credentials
 	}
--- a/node/relay/wire_test.go
+++ b/node/relay/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -9,6 +10,21 @@
 	"github.com/carobmill/carobmill/node/forward"
 )
 
+// Guards against a coordinator that does not learn when the node that waits for its answer stops.
+func TestRelayedRequestStatesWhenItsSenderStops(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	for _, left := range []time.Duration{3 * time.Second, -time.Second} {
+		req := &forward.Request{Arrived: now, AnswerBy: now.Add(left)}
+		got := decodeRelayRequest(encodeRelayRequest(req, 0, 0).GetRequest(), now)
+		c.Check(got.AnswerBy.IsZero(), qt.IsFalse)
+		c.Check(got.AnswerBy.After(now.Add(max(left, time.Millisecond))), qt.IsFalse)
+		c.Check(got.AnswerBy.After(now.Add(left-time.Minute)), qt.IsTrue)
+	}
+	got := decodeRelayRequest(encodeRelayRequest(&forward.Request{Arrived: now}, 0, 0).GetRequest(), now)
+	c.Check(got.AnswerBy.IsZero(), qt.IsTrue)
+}
+
 // Guards against a relayed answer whose status cannot be written, so that its caller's connection
 // ends without an answer, or with a status that the replica did not send.
 func TestRelayedAnswerWithoutFinalStatusIsFailure(t *testing.T) {
