Keep endless replies within the memory of a small node

Cause, from a heap profile and traces of the collector, most first: - An attempt that lingers after its request was answered read on. What it took was charged to a request that had ended, so that new ones took it again. - Up to 64 KB of each reply were not counted: 200 replies that wait for memory hold 13 MB. - A body without a length was read into buffers that grow fourfold, and left them as garbage faster than it was collected. - A stated length beyond the limit was read up to the limit.

Change: a reply of a request that has ended takes no memory beyond that of a small reply. A reply that states more than the limit is rejected unread.

--- a/node/backend/exchange.go
+++ b/node/backend/exchange.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	pb "github.com/carobmill/carobmill/api/carobmillv1"
 )
 
@@ -194,15 +196,14 @@
 	if ex.call.batch != nil && resp.StatusCode == http.StatusOK {
 		return ex.readReplies(reply, resp.Body)
 	}
-	limit := ex.pool.client.opts.MaxResultBytes
-	body, err := readBody(resp, limit+1)
-	if err != nil {
+	body, err := readBody(resp, ex.pool.client.opts.MaxResultBytes)
+	oversized := errors.Is(err, errReplyTooLarge)
+	if err != nil && !oversized {
 		ex.truncated = true
 		// The status line alone is no evidence when the reply was truncated.
 		reply.Reason, reply.Evidence = pb.Reason_REASON_CONNECTION, pb.Evidence_EVIDENCE_UNKNOWN
 		return reply, ex.pool.h2
 	}
-	oversized := int64(len(body)) > limit
 	if ex.path == pathStatus && !oversized {
 		return statusReply(reply, resp.StatusCode), true
 	}
@@ -224,24 +225,6 @@
 	return reply, true
 }
 
-// maxReservedBytes is the greatest stated length for which the memory is reserved at once. A replica
-// may state a length that it does not send.
-const maxReservedBytes = 64 << 10
-
-// readBody reads at most limit bytes. A reply to HEAD has no body, though it may state the length of
-// one.
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
-	if resp.Body == http.NoBody {
-		return nil, nil
-	}
-	if resp.ContentLength < 0 || resp.ContentLength > min(limit, maxReservedBytes) {
-		return io.ReadAll(io.LimitReader(resp.Body, limit))
-	}
-	body := make([]byte, resp.ContentLength)
-	_, err := io.ReadFull(resp.Body, body)
-	return body, err
-}
-
 // failedReply returns the outcome of an exchange without a reply.
 func (ex *exchange) failedReply(ctx context.Context) (Reply, bool) {
 	reply := Reply{
--- a/node/backend/forward.go
+++ b/node/backend/forward.go
@@ -255,8 +255,7 @@
 	}
 	reply = ForwardReply{Status: resp.StatusCode, Header: resp.Header, Metadata: dialect.Metadata(resp)}
 	p.recordLoad(&reply)
-	limit := p.client.opts.MaxResultBytes
-	reply.Body, err = f.readBody(resp, limit+1)
+	reply.Body, err = f.readBody(resp, p.client.opts.MaxResultBytes)
 	_ = resp.Body.Close()
 	awaited := f.detach(true)
 	reply.Took = time.Since(sent)
@@ -265,7 +264,7 @@
 	// rejected too. So is one without a final status, whose other fields are not reliable.
 	mismatched := reply.Metadata.RequestID != f.RequestID || !ValidStatus(resp.StatusCode)
 	switch {
-	case err != nil || int64(len(reply.Body)) > limit:
+	case err != nil:
 		p.release(cn, false)
 		return failedRead(f, err, awaited, reply.Took), false
 	case mismatched:
@@ -305,8 +304,7 @@
 
 const maxStatus = 999
 
-// failedRead returns the outcome of an exchange whose reply was not read completely: with an error,
-// or because it exceeds the limit.
+// failedRead returns the outcome of an exchange whose reply was not read completely.
 func failedRead(f *ForwardRequest, err error, awaited bool, took time.Duration) ForwardReply {
 	reason := pb.Reason_REASON_CONNECTION
 	noMemory := errors.Is(err, intake.ErrNoMemory)
@@ -319,7 +317,7 @@
 	}
 	// The status line alone is no evidence when the reply was truncated.
 	reply := failedForward(reason, took)
-	reply.Lost = err != nil && !noMemory && !f.wasAborted()
+	reply.Lost = !noMemory && !errors.Is(err, errReplyTooLarge) && !f.wasAborted()
 	return reply
 }
 
--- a/node/backend/memory_test.go
+++ b/node/backend/memory_test.go
@@ -89,3 +89,26 @@
 		})
 	}
 }
+
+// Guards against a reply without end that is read on after its request has ended, when its memory
+// counts no more.
+func TestReplyOfEndedRequestTakesNoMemory(t *testing.T) {
+	c := qt.New(t)
+	s, client, replica := startEndless(c, endlessHead+"\r\n", "z", 0)
+	taken := 0
+	f := &backend.ForwardRequest{
+		Replica: replica, RequestID: "q", Method: http.MethodGet, Target: "/", Host: "h",
+		Header: http.Header{}, Deadline: time.Now().Add(testTimeout),
+	}
+	f.TakeMemory = func(size int64) bool {
+		if taken += int(size); taken > smallReply {
+			f.Cancel(testTimeout)
+		}
+		return true
+	}
+	reply := client.Forward(f, idDialect{})
+	c.Check(reply.Status, qt.Equals, 0)
+	c.Check(reply.Reason, qt.Equals, pb.Reason_REASON_CANCELLED)
+	c.Check(taken <= 3*smallReply, qt.IsTrue, qt.Commentf("%d bytes taken", taken))
+	s.checkCutOff(c)
+}
