A request to one replica never returns to a replica that refused it

What callers saw: an idempotent request was refused as not run although a replica ran it, while replicas refuse requests and send second copies of refusals late.

The log of that request shows six attempts at two replicas, all refused, of which one was a copy.

Change: a request to one replica, idempotent or not, is sent to each replica once. A part of a gathered request is asked for again, since that saves the part; with such an attempt, the request does not count as not run any more.

TestRefusedRequestIsRetriedOnlyAtAnotherReplica covers both kinds.

--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -174,6 +174,15 @@
 	return tried, tried && refused
 }
 
+// isReturn reports whether an attempt went to a replica that had refused an earlier one. Its reply
+// may be a second copy of that refusal.
+func (q *exchange) isReturn(index int) bool {
+	a := &q.attempts[index]
+	return slices.ContainsFunc(q.attempts[:index], func(earlier attempt) bool {
+		return earlier.shard == a.shard && (earlier.replica.ID == a.replica.ID || earlier.replica.Address == a.replica.Address)
+	})
+}
+
 // takeBudget takes one request from the service's retry budget and reports whether the
 // budget allows it. The caller holds s.mu.
 func (s *service) takeBudget(now time.Time, size float64, optional bool, account string) bool {
@@ -309,7 +318,7 @@
 		return
 	}
 	q.attempts[e.index].end(q.elapsed(), e.reply)
-	if e.reply.Evidence != pb.Evidence_EVIDENCE_NOT_RUN {
+	if e.reply.Evidence != pb.Evidence_EVIDENCE_NOT_RUN || q.isReturn(e.index) {
 		q.mayHaveRun = true
 	}
 	if e.reply.Evidence == pb.Evidence_EVIDENCE_RAN {
--- a/node/forward/run.go
+++ b/node/forward/run.go
@@ -114,6 +114,8 @@
 		Objective:   q.objective,
 		Deadline:    timeout,
 		Idempotent:  r.Idempotent,
+
+		SingleReplica: !r.Gathers(),
 	})
 	q.services = make([]*service, n)
 	q.parts = make([]backend.ForwardReply, n)
--- a/policy/gather/gather.go
+++ b/policy/gather/gather.go
@@ -20,6 +20,8 @@
 	Deadline time.Duration
 	// Idempotent requests may run more than once.
 	Idempotent bool
+	// SingleReplica is set for requests that one replica answers, without shards.
+	SingleReplica bool
 }
 
 // Decision is what happens to the request next.
@@ -125,10 +127,11 @@
 	refusalBackoff    = 5 * time.Millisecond
 )
 
-// MayReturn reports whether the request may be sent again to a replica that refused it. A request
-// that is not idempotent may not: a second copy of the refusal can arrive at any later time, on any
-// connection of the replica. It would count as the reply to the new attempt, which runs.
-func (q *Query) MayReturn() bool { return q.params.Idempotent }
+// MayReturn reports whether a shard's request may be sent again to a replica that refused it. A
+// second copy of the refusal can arrive at any later time, on any connection of the replica. It would
+// count as the reply to the new attempt, which runs. A request to one replica would then be refused
+// as not run although it runs. At a shard, another run does no harm, and a retry saves the part.
+func (q *Query) MayReturn() bool { return q.params.Idempotent && !q.params.SingleReplica }
 
 // ScheduleRetry schedules another attempt after a refusal, and reports whether one is left.
 // Without these retries, replicas that refuse every second request cause more lost
