--- a/node/forward/admission.go
+++ b/node/forward/admission.go
@@ -110,7 +110,7 @@
 	if !a.applies(q) {
 		return true
 	}
-	if q.checkQuarantine().Refused || q.refusesToOutlast(time.Now()) {
+	if q.checkQuarantine().Refused || q.refusedForStop(time.Now()) {
 		// It would be refused after the wait too.
 		return false
 	}
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -57,7 +57,7 @@
 		q.deny(i, deniedYields, request.Optional)
 		return false
 	}
-	if q.refusesToOutlast(now) {
+	if q.refusedForStop(now) {
 		q.deny(i, deniedStopping, request.Optional)
 		return false
 	}
--- a/node/forward/stop.go
+++ b/node/forward/stop.go
@@ -37,8 +37,9 @@
 	return !shutdown.Fits(by.Sub(now), q.deadline.Sub(now), q.class.longestLatency())
 }
 
-// refusesToOutlast is outlastsNode. It records the cause of the refusal.
-func (q *exchange) refusesToOutlast(now time.Time) bool {
+// refusedForStop reports whether an attempt is refused because it may outlast the node, and records
+// that for the answer.
+func (q *exchange) refusedForStop(now time.Time) bool {
 	if !q.outlastsNode(now) {
 		return false
 	}
