--- a/node/backend/memory.go
+++ b/node/backend/memory.go
@@ -14,7 +14,8 @@
 const (
 	// memoryPollInterval is the time between two checks while a reply waits for memory.
 	memoryPollInterval = 10 * time.Millisecond
-	// segmentBytes is the size of the buffers for a reply whose length is not known or not trusted.
+	// segmentBytes is the size of the buffers for a reply without a length, and the greatest length of
+	// a short reply, which does not count.
 	segmentBytes = 8 << 10
 	// maxReservedBytes is the greatest stated length for which the memory is reserved at once. A
 	// replica may state a length that it does not send.
@@ -38,8 +39,8 @@
 	return readLength(resp)
 }
 
-// readBody is the function readBody for a reply whose memory counts, if it is large or its length is
-// not known. The reply waits for it.
+// readBody is like the function of that name. If the memory of replies is bounded, one that is not
+// short or has no length takes its memory from the bound, and a large one waits for it.
 func (f *ForwardRequest) readBody(resp *http.Response, limit int64) ([]byte, error) {
 	if f.TakeMemory == nil || resp.Body == http.NoBody || resp.ContentLength > limit {
 		return readBody(resp, limit)
--- a/policy/shutdown/shutdown.go
+++ b/policy/shutdown/shutdown.go
@@ -12,7 +12,7 @@
 	latencyMargin = 1.25
 )
 
-// Fits reports whether a request that starts now ends before the node stops. left is the time
+// Fits reports whether a request that starts now is expected to end before the node stops. left is the time
 // until then, limit the time until the request's own deadline, and longest the longest latency of
 // its route; 0 if unknown. Without a known latency, only the deadline is certain.
 func Fits(left, limit, longest time.Duration) bool {
